--- a/oakgap/drill.py
+++ b/dockthread/drill.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Any, BinaryIO
 
-from oakgap import api
-from oakgap.rules import Gateway
+from dockthread import api
+from dockthread.rules import Gateway
 
 HEADER = struct.Struct("<QII")
 REPLY = struct.Struct("<II")
@@ -306,7 +306,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except (WireError, struct.error) as error:
-        print(f"oakgap.drill: {error}", file=sys.stderr)
+        print(f"dockthread.drill: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/oakgap/rules.py
+++ b/dockthread/rules.py
@@ -1,6 +1,6 @@
-"""Every decision of a gateway. Events, actions, settings: oakgap/api.py; messages: oakgap/message.py.
+"""Every decision of a gateway. Events, actions, settings: dockthread/api.py; messages: dockthread/message.py.
 
-`_arrived` asks `_admit` whether the customer's decayed unit rate lets a request in (docs/design.md), `_try`
+`_arrived` asks `_admit` whether the customer's decayed unit rate lets a request in (as rakelimit does), `_try`
 picks a worker, `_ended` and the timers try again, copy or finish. Each customer has a keeper among its own
 gateways: the others report to it (`_report`), and it tells them when the quota runs short (`_review`)."""
 
@@ -12,9 +12,9 @@
 from itertools import accumulate
 from typing import Any
 
-from oakgap import api, message
-from oakgap.api import Effect, Group, ListKind, Outcome, WorkerState
-from oakgap.state import NEVER, Attempt, Call, Customer, Memory, Worker
+from dockthread import api, message
+from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread.state import NEVER, Attempt, Call, Customer, Memory, Worker
 
 ROWS, CELLS = 5, 1024  # five rows as in the paper; several times wider than the customers seen lately
 PRIME, MIX = (1 << 61) - 1, 0x9E3779B97F4A7C15  # of the hashes
--- a/oakgap/state.py
+++ b/dockthread/state.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from oakgap import api
-from oakgap.message import Report, Word, whole, worker_code
+from dockthread import api
+from dockthread.message import Report, Word, whole, worker_code
 
 NEVER = -1e9  # a time long ago
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from oakgap import api, drill
+from dockthread import api, drill
 
 CONF = {
     "MyNumber": 0,
@@ -129,7 +129,7 @@
 )
 def test_bad_input_ends_with_one_line(data: bytes) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "oakgap.drill"], input=data, capture_output=True, check=False, timeout=60
+        [sys.executable, "-m", "dockthread.drill"], input=data, capture_output=True, check=False, timeout=60
     )
     assert done.returncode == 1
     assert len(done.stderr.decode().splitlines()) == 1
@@ -140,7 +140,7 @@
     data = start() + b"".join(frame(1_100_000 + i * 1000, [request(10 + i)]) for i in range(60))
     outs = [
         subprocess.run(
-            [sys.executable, "-m", "oakgap.drill"],
+            [sys.executable, "-m", "dockthread.drill"],
             input=data,
             capture_output=True,
             check=True,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,8 +11,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from oakgap import api, message, rules
-from oakgap.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread import api, message, rules
+from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
 
 SAFE, KEYED, UNSAFE = 0, 1, 2
 CLASSES = (
