--- /dev/null
+++ b/dockthread/__main__.py
@@ -0,0 +1,53 @@
+"""Starts one ingress: `python -m dockthread`, configured by `NODE_CONFIG`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+from loguru import logger
+
+from dockthread.clock import Clock
+from dockthread.net.destination_set import WatchError
+from dockthread.net.ingress import Ingress
+from dockthread.settings import Config, SettingsError, read_config
+
+LOG_LINE = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}"
+
+
+async def serve(config: Config) -> None:
+    ingress = Ingress(config, Clock())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ingress.stop)
+    gc.collect()
+    gc.freeze()  # what stands now stands for good: no collection need look at it again
+    await ingress.run()
+
+
+def main() -> int:
+    try:
+        config = read_config(os.environ)
+        level = os.environ.get("DOCKTHREAD_LOG", "INFO").upper()
+        logger.remove()
+        try:
+            logger.add(sys.stderr, level=level, format=LOG_LINE)
+        except ValueError as error:
+            raise SettingsError(f"DOCKTHREAD_LOG: {error}") from error
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(config))
+    except (SettingsError, WatchError) as error:
+        print(f"dockthread: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"dockthread: cannot listen: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dockthread/drill.py
+++ b/dockthread/drill.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import struct
 import sys
 from collections.abc import Callable
@@ -10,6 +9,7 @@
 
 from dockthread import api
 from dockthread.rules import Gateway
+from dockthread.settings import SettingsError, read_settings
 
 HEADER = struct.Struct("<QII")
 REPLY = struct.Struct("<II")
@@ -34,7 +34,6 @@
 EVERYONE = 0xFFFFFFFF
 SECOND = 1_000_000
 
-EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
 STATES = {0: api.WorkerState.GONE, 1: api.WorkerState.READY, 2: api.WorkerState.DRAINING}
 KINDS = {0: api.ListKind.CHANGES, 1: api.ListKind.FAILED, 2: api.ListKind.FULL, 3: api.ListKind.CACHED}
 OUTCOMES = {
@@ -61,88 +60,6 @@
     return (worker >> 16).to_bytes(4, "big"), worker & 0xFFFF
 
 
-def read_settings(text: bytes) -> api.Settings:
-    """Settings as the module knows them; keys that it does not know are skipped."""
-    try:
-        raw: dict[str, Any] = json.loads(text)
-        return _settings(raw)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise WireError(f"settings cannot be read: {error!r}") from error
-
-
-def _settings(raw: dict[str, Any]) -> api.Settings:
-    def seconds(value: float) -> float:
-        return value / SECOND
-
-    limits, safety = raw.get("Limits", {}), raw.get("Safety", {})
-    domain, costs, stats = raw.get("Domain", {}), raw.get("Costs", {}), raw.get("Stats", {})
-    classes = tuple(
-        api.RequestClass(
-            aim=seconds(c["Aim"]),
-            deadline=seconds(c["HardLimit"]),
-            worth=c.get("Points", 1.0),
-            late_worth=c.get("LateShare", 0.0),
-            effect=EFFECTS[c["Effect"]],
-            group=api.Group(c.get("Group", "all")),
-            window=seconds(c.get("Window", 0)),
-            stream=c.get("Stream", False),
-        )
-        for c in raw["Classes"]
-    )
-    plans = tuple(
-        api.Plan(
-            rate=p.get("Refill", 0.0),
-            burst=p.get("PeakUnits", 0.0),
-            most_out=p.get("MaxOut", 0),
-            price=p.get("WorthFactor", 1.0),
-            over_worth=p.get("OverWorth", 0.0),
-            over_cost=p.get("ExcessCost", 0.0),
-            ceiling_rate=p.get("CeilingRate", 0.0),
-            ceiling_burst=p.get("CapDepth", 0.0),
-            ceiling_slack=p.get("Tolerance", 0.0),
-        )
-        for p in raw.get("Packages", [])
-    )
-    return api.Settings(
-        number=raw["MyNumber"],
-        gateways=raw["ReplicasOfMe"],
-        classes=classes,
-        plans=plans,
-        zone=raw.get("Zone", 0),
-        tick=seconds(raw.get("Period", 1000)),
-        safety=api.Safety(
-            answer_slack=seconds(safety.get("AnswerSlack", 0)),
-            drain_grace=seconds(safety.get("StopSendingWithin", 0)),
-            cold_share=safety.get("ColdShare", 1.0),
-            cold_time=seconds(safety.get("Cold", 0)),
-            fall_multiple=safety.get("FallMultiple", 1.0),
-            fall_time=seconds(safety.get("TipAfter", SECOND)),
-            ask_within=seconds(safety.get("AskWithin", 10 * SECOND)),
-        ),
-        prices=api.Prices(
-            cross_zone=costs.get("CrossZone", 0.0),
-            waste=costs.get("Waste", 0.0),
-            probe=costs.get("Probe", 0.0),
-            peer=costs.get("Peer", 0.0),
-            late_fail=costs.get("LateFail", 0.0),
-        ),
-        most_attempts=limits.get("SendCap", 1),
-        second_copies=limits.get("SecondCopies", False),
-        may_cancel=limits.get("Cancelling", False),
-        may_probe=limits.get("Probes", False),
-        may_tell=limits.get("Peers", False),
-        may_advise=limits.get("RetryAfter", False),
-        most_advice=seconds(limits.get("MaxRetryAfter", 0)),
-        peer_intake=domain.get("PeerInPerS", 0.0),
-        largest_units=domain.get("Largest", 1),
-        settles_units=domain.get("TruedUp", False),
-        meter_period=seconds(domain.get("Metering", 0)),
-        load_names=tuple(stats.get("Names", ())),
-        load_in_answers=stats.get("Source") == "inline",
-        must_ask_for_list=raw.get("Discovery") == "subscribe",
-    )
-
-
 def _cut(tail: bytes, offset: int, length: int) -> bytes:
     if offset + length > len(tail):
         raise WireError("a field points outside the tail")
@@ -305,7 +222,7 @@
 def main() -> int:
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
-    except (WireError, struct.error) as error:
+    except (WireError, SettingsError, struct.error) as error:
         print(f"dockthread.drill: {error}", file=sys.stderr)
         return 1
     return 0
--- /dev/null
+++ b/dockthread/net/__init__.py
@@ -0,0 +1,1 @@
+"""The ingress on real sockets: what stands round the decision module."""
--- /dev/null
+++ b/dockthread/net/destination_set.py
@@ -0,0 +1,198 @@
+"""The destination set: what discovery lists, and the watch that keeps it current."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+from loguru import logger
+
+from dockthread import api
+from dockthread.clock import Clock
+from dockthread.settings import Address, Names, SettingsError
+
+STATES = {
+    "active": api.WorkerState.READY,
+    "leaving": api.WorkerState.DRAINING,
+    "left": api.WorkerState.GONE,
+}
+MOST_LINE = 4 * 1024 * 1024  # bytes of one line of a watch
+SILENCE = 3_500.0  # a watch says something every 2 s; one silent for longer is dead
+RETRY = 250.0  # from the end of a watch to the next
+
+
+class WatchError(Exception):
+    """Discovery said something that is not on the protocol's page."""
+
+
+@dataclass(slots=True)
+class Destination:
+    worker: int
+    uid: str
+    endpoint: Address
+    state: api.WorkerState
+    started: float  # milliseconds on the ingress's clock, 0 for long ago
+
+    @property
+    def active(self) -> bool:
+        return self.state is api.WorkerState.READY
+
+
+class DestinationSet:
+    """Every destination ever listed, by the module's number for it.
+
+    A uid keeps its number for good: a backend that restarts, even at another endpoint, is the same worker.
+    """
+
+    def __init__(self, names: Names, clock: Clock) -> None:
+        self._zones = {name: number for number, name in enumerate(names.zones)}
+        self._kinds = {name: number for number, name in enumerate(names.kinds)}
+        self._clock = clock
+        self._by_uid: dict[str, Destination] = {}
+        self.by_worker: dict[int, Destination] = {}
+        self.revision = 0
+        self.moved: Callable[[Destination], None] = lambda destination: None
+
+    def active(self, worker: int) -> bool:
+        return self.by_worker[worker].active
+
+    def apply(self, message: Any, cached: bool = False) -> api.WorkersListed:
+        """Take over a list or its changes, and say it in the module's words. Nothing of a malformed message
+        is taken over."""
+        try:
+            full = bool(message["all"])
+            revision = int(message["rev"])
+            read = [self._read(target) for target in message["targets"]]
+        except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
+            raise WatchError(f"not a list of destinations: {error!r}") from error
+        entries = tuple(self._take(*one) for one in read)
+        self.revision = revision
+        if full:
+            listed = {entry.worker for entry in entries}
+            for destination in self.by_worker.values():
+                if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
+                    destination.state = api.WorkerState.GONE
+                    self.moved(destination)
+        kind = api.ListKind.FULL if full else api.ListKind.CHANGES
+        return api.WorkersListed(api.ListKind.CACHED if cached else kind, entries)
+
+    def _read(self, target: dict[str, Any]) -> tuple[str, Address, api.WorkerEntry]:
+        uid = target["uid"]
+        entry = api.WorkerEntry(
+            worker=-1,
+            state=STATES[target["state"]],
+            zone=self._zones.get(target.get("az", ""), len(self._zones)),
+            kind=self._kinds.get(target.get("model", ""), len(self._kinds)),
+            cell=int(target.get("pod_group", 0)),
+            weight=float(target.get("capacity_hint", 1.0)),
+            started=self._clock.from_unix(float(target.get("boot_ms", 0))) / 1000.0,
+        )
+        if not isinstance(uid, str):
+            raise TypeError("a uid is not a string")
+        return uid, Address.parse(target["endpoint"]), entry
+
+    def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry) -> api.WorkerEntry:
+        known = self._by_uid.get(uid)
+        if known is None:
+            worker = len(self._by_uid) + 1
+            known = Destination(worker, uid, endpoint, read.state, read.started * 1000.0)
+            self._by_uid[uid] = self.by_worker[worker] = known
+        else:
+            before = (known.endpoint, known.active, known.started)
+            known.endpoint, known.state, known.started = endpoint, read.state, read.started * 1000.0
+            if before != (known.endpoint, known.active, known.started):
+                self.moved(known)
+        return api.WorkerEntry(
+            known.worker, read.state, read.zone, read.kind, read.cell, read.weight, read.started
+        )
+
+
+class WatchParser:
+    """Bytes of one watch's HTTP answer in, JSON objects out; an empty line is a sign of life."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._line = bytearray()
+        self._found: list[Any] = []
+        self.ended = False
+
+    def feed(self, data: bytes | memoryview) -> list[Any]:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            cause = error.__context__ or error
+            raise WatchError(f"not an HTTP answer: {cause}") from error
+        found, self._found = self._found, []
+        return found
+
+    def on_headers_complete(self) -> None:
+        if (status := self._parser.get_status_code()) != 200:
+            raise WatchError(f"discovery answered {status}")
+
+    def on_body(self, body: bytes) -> None:
+        *lines, rest = (bytes(self._line) + body).split(b"\n")
+        self._line = bytearray(rest)
+        if len(rest) > MOST_LINE:
+            raise WatchError("a line does not end")
+        for line in lines:
+            if line.strip():
+                try:
+                    self._found.append(json.loads(line))
+                except ValueError as error:
+                    raise WatchError(f"a line is not JSON: {error}") from error
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+
+class Watch:
+    """Holds a watch on discovery for as long as it runs; starts another whenever one ends or goes silent."""
+
+    def __init__(
+        self, address: Address, destinations: DestinationSet, clock: Clock, told: Callable[[Any], None]
+    ) -> None:
+        self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
+        self._heard = clock.now()
+        self._attempt: asyncio.Task[None] | None = None
+        self._failures = 0
+
+    async def run(self) -> None:
+        while True:
+            self._heard = self._clock.now()
+            self._attempt = asyncio.create_task(self._watch())
+            (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
+            self._failures += 1
+            # One line for each loss of discovery, not one for each try.
+            log = logger.warning if self._failures == 1 else logger.debug
+            log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
+            await asyncio.sleep(RETRY / 1000.0)
+
+    def check(self) -> None:
+        """End a watch that has gone silent: its machine may have vanished, which TCP does not tell."""
+        if self._attempt is not None and self._clock.now() - self._heard > SILENCE:
+            self._attempt.cancel()
+
+    async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
+        with socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+            await loop.sock_connect(sock, (self._address.host, self._address.port))
+            path = f"/discovery/hosts?watch=1&after={self._destinations.revision}"
+            head = f"GET {path} HTTP/1.1\r\nHost: {self._address}\r\nAccept: application/json\r\n\r\n"
+            await loop.sock_sendall(sock, head.encode())
+            parser, buffer = WatchParser(), bytearray(65536)
+            while not parser.ended:
+                size = await loop.sock_recv_into(sock, buffer)
+                if not size:
+                    raise WatchError("discovery closed the connection")
+                self._heard = self._clock.now()
+                for message in parser.feed(memoryview(buffer)[:size]):
+                    self._told(message)
+                    if self._failures:
+                        logger.info("watch on discovery is back at {}", self._destinations.revision)
+                        self._failures = 0
--- /dev/null
+++ b/dockthread/net/ingress.py
@@ -0,0 +1,374 @@
+"""The ingress: owns the one decision module, tells it what happens, carries out what it decides."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import resource
+import socket
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from math import ceil, inf
+from typing import Any
+
+from loguru import logger
+
+from dockthread import api
+from dockthread.clock import Clock
+from dockthread.net import resp
+from dockthread.net.destination_set import DestinationSet, Watch
+from dockthread.net.inbound import Inbound, Slot
+from dockthread.net.lifecycle import Lifecycle, Phase
+from dockthread.net.outbound import Outbound, OutboundCall
+from dockthread.rules import Gateway
+from dockthread.settings import Config
+
+BACKLOG = 1024
+RESERVE = 24  # descriptors for all but connections: standard streams, the loop's own, listener, watch
+SURPLUS = 32  # inbound connections over their budget that are accepted only to be told to come again
+INBOUND_PART = 0.6  # of the descriptors left
+HOUSEKEEPING = 250.0  # between rounds of it
+LINGER = 500.0  # after SIGTERM, in which the front still sends
+LAST_READS = 20.0  # for what has reached the last accepted connections to be read
+HELD_BYTES = 32 * 1024 * 1024  # of requests' bodies at most
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Request(Slot):
+    """A request from its arrival until it is answered and no call of it is out."""
+
+    __slots__ = ("ask", "calls", "connection", "deadline", "gone", "number", "out")
+
+    def __init__(self, number: int, connection: Inbound, ask: resp.Ask, deadline: float) -> None:
+        super().__init__()
+        self.number, self.connection, self.ask, self.deadline = number, connection, ask, deadline
+        self.calls: list[OutboundCall] = []
+        self.out = 0
+        self.gone = False
+
+    @property
+    def finished(self) -> bool:
+        return self.gone or self.answer is not None
+
+
+class Ingress:
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock, self.lifecycle = config, clock, Lifecycle()
+        self._loop = asyncio.get_running_loop()
+        self.vocabulary = resp.Vocabulary(config.names, config.module.classes)
+        self.gateway = Gateway(config.module, config.seed, clock.now() / 1000.0)
+        self._advice = config.module.most_advice * 1000.0
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+        self.requests: dict[int, Request] = {}
+        self._numbers = 0
+        self._held = 0
+        self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._timer_count = 0
+        self._armed, self._alarm = inf, None  # type: float, asyncio.TimerHandle | None
+        self._stop = asyncio.Event()
+        self._emptied = asyncio.Event()
+        self._inbound: set[Inbound] = set()
+        room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE - SURPLUS
+        self._most_inbound = int(room * INBOUND_PART)
+        self.destinations = DestinationSet(config.names, clock)
+        self.outbound = Outbound(
+            self.destinations,
+            clock,
+            resp.ReplyReader(config.module.load_names),
+            self._call_ended,
+            self.at,
+            most=room - self._most_inbound,
+            conn_idle=config.conn_idle,
+            connect_timeout=config.connect_timeout,
+        )
+        self.destinations.moved = self.outbound.forget
+        self.watch = Watch(config.discovery, self.destinations, clock, self._listed)
+        self._carry_out: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.SetTimer: self._set_timer,
+            api.AskForList: lambda action: None,  # the watch stands anyway
+        }
+
+    # Its life
+
+    @property
+    def ready(self) -> bool:
+        return self.lifecycle.ready and bool(self.destinations.by_worker)
+
+    @property
+    def draining(self) -> bool:
+        return self.lifecycle.draining
+
+    def stop(self) -> None:
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then answer all that was taken."""
+        listener = self._listen()
+        self._tell(self.destinations.apply(self.config.known, cached=True))
+        self._housekeeping()
+        watching = self._loop.create_task(self.watch.run())
+        accepting = self._loop.create_task(self._accept(listener))
+        self.lifecycle.enter(Phase.SERVING)
+        try:
+            await self._stop.wait()
+            self.lifecycle.enter(Phase.LINGERING)
+            await asyncio.sleep(LINGER / 1000.0)
+            accepting.cancel()
+            self._empty_backlog(listener)
+            await asyncio.sleep(LAST_READS / 1000.0)
+            self._empty_backlog(listener)
+            listener.close()
+            self.lifecycle.enter(Phase.DRAINING)
+            for connection in list(self._inbound):
+                connection.close_if_done()
+            if self._inbound:
+                await self._emptied.wait()
+        finally:
+            watching.cancel()
+            accepting.cancel()
+            listener.close()
+            self.outbound.close()
+            self.lifecycle.enter(Phase.STOPPED)
+
+    def _listen(self) -> socket.socket:
+        address = self.config.listen
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((address.host, address.port))
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        logger.info("{} listens on {}:{}", self.config.name, *listener.getsockname()[:2])
+        return listener
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = await self._loop.sock_accept(listener)
+                self._opened(sock)
+                self._empty_backlog(listener)
+            except OSError as error:
+                # Out of descriptors the backlog keeps its clients until there is room again.
+                if error.errno in NO_ROOM and (self.outbound.shed() or self._shed_inbound()):
+                    continue
+                logger.warning("cannot accept: {}", error)
+                await asyncio.sleep(0.05)
+
+    def _empty_backlog(self, listener: socket.socket) -> None:
+        while len(self._inbound) < self._most_inbound + SURPLUS:
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            self._opened(sock)
+
+    def _opened(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        surplus = len(self._inbound) >= self._most_inbound and not self._shed_inbound()
+        try:
+            self._inbound.add(Inbound(self, sock, surplus))
+        except OSError:  # gone before it was looked at
+            sock.close()
+
+    def _shed_inbound(self) -> bool:
+        """Close the inbound connection that has been idle longest; False where none is."""
+        idle = [connection for connection in self._inbound if connection.idle]
+        if idle:
+            min(idle, key=lambda connection: connection.used).close()
+        return bool(idle)
+
+    def closed(self, connection: Inbound) -> None:
+        self._inbound.discard(connection)
+        if not self._inbound:
+            self._emptied.set()
+
+    def _housekeeping(self) -> None:
+        now = self.clock.now()
+        self.at(now + HOUSEKEEPING, self._housekeeping)
+        self.outbound.sweep()
+        self.watch.check()
+        for connection in [c for c in self._inbound if c.close_by is not None and c.close_by < now]:
+            connection.close()
+
+    # Timers: one heap, one alarm of the loop
+
+    def at(self, due: float, then: Callable[..., None], *args: Any) -> None:
+        self._timer_count += 1
+        heappush(self._timers, (due, self._timer_count, then, args))
+        if due < self._armed:
+            self._arm()
+
+    def _arm(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._armed = self._timers[0][0]
+        # Whole milliseconds, up: the loop knows no finer ones, and an early alarm would only be set again.
+        wait = max(1, ceil(self._armed - self.clock.now())) / 1000.0
+        self._alarm = self._loop.call_later(wait, self.run_timers)
+
+    def run_timers(self) -> None:
+        timers, now = self._timers, self.clock.now()
+        self._armed = -inf  # nothing that is set meanwhile needs an alarm of its own
+        while timers and timers[0][0] <= now:
+            _, _, then, args = heappop(timers)
+            try:
+                then(*args)
+            except Exception:
+                logger.exception("a timer failed")
+        if timers:
+            self._arm()
+        else:
+            self._armed = inf
+
+    # What happens, told to the module
+
+    def _tell(self, event: api.Event) -> None:
+        """Events are told one after another: one that comes of carrying out an action waits for its turn."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _decide(self, event: api.Event) -> None:
+        broken = False
+        try:
+            actions = self.gateway.handle(self.clock.now() / 1000.0, event)
+        except Exception:
+            logger.exception("the module failed on {!r}", event)
+            # What it had decided until then stands in its memory, and so must be done; its own next round
+            # may be among it.
+            actions, broken = list(self.gateway.actions), True
+        for action in actions:
+            try:
+                self._carry_out[type(action)](action)
+            except Exception:
+                logger.exception("{!r} could not be carried out", action)
+                self._abandon(getattr(action, "request", -1))
+        if broken:
+            self._abandon(getattr(event, "request", -1))
+
+    def _abandon(self, number: int) -> None:
+        """After a fault: a final answer that is true whatever has run, and no more calls for the request."""
+        request = self.requests.get(number)
+        if request is None or request.finished:
+            return
+        self._answer(request, resp.FAILED)
+        for call in request.calls:
+            self.outbound.give_up(call, api.Outcome.CANCELLED)
+        self._tell(api.ClientGone(number))
+
+    def _listed(self, message: Any) -> None:
+        self._tell(self.destinations.apply(message))
+
+    def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
+        body = len(ask.args[4]) if len(ask.args) == 5 else 0
+        if len(self.requests) >= self.config.most_open or self._held + body > HELD_BYTES or self.draining:
+            return Slot(resp.busy(self._advice))
+        self._numbers += 1
+        request = Request(self._numbers, connection, ask, self.clock.now() + ask.time_left)
+        self.requests[request.number] = request
+        self._held += body
+        self.at(request.deadline, self._overdue, request)
+        self._tell(
+            api.RequestArrived(
+                request.number,
+                ask.request_class,
+                ask.plan,
+                ask.customer,
+                ask.time_left / 1000.0,
+                ask.units,
+                ask.spread,
+                ask.first,
+            )
+        )
+        return request
+
+    def client_gone(self, slot: Slot) -> None:
+        if isinstance(slot, Request) and not slot.finished:
+            slot.gone = True
+            self._tell(api.ClientGone(slot.number))
+            self._settle(slot)
+
+    def _call_ended(self, call: OutboundCall, reply: resp.Reply) -> None:
+        request = self.requests[call.request]
+        request.out -= 1
+        first = reply.outcome is api.Outcome.OK and not request.finished
+        if first:
+            self._answer(request, resp.served(reply.value))
+        self._tell(
+            api.AttemptEnded(
+                call.request,
+                call.number,
+                call.worker,
+                reply.outcome,
+                request.finished,
+                (self.clock.now() - call.started) / 1000.0,
+                reply.cost if first else 0.0,
+                reply.used,
+                reply.load,
+            )
+        )
+        self._settle(request)
+
+    def _overdue(self, request: Request) -> None:
+        """The client has given up by now. The module has answered long before, unless it failed."""
+        for call in request.calls:
+            self.outbound.give_up(call, api.Outcome.TIMEOUT)
+        if not request.finished:
+            logger.error("request {} was not answered in time", request.number)
+            self._abandon(request.number)
+
+    # What the module decides, carried out
+
+    def _send(self, action: api.Send) -> None:
+        request, now = self.requests[action.request], self.clock.now()
+        due = min(request.deadline, now + action.timeout * 1000.0) if action.timeout > 0 else request.deadline
+        call = OutboundCall(request.number, len(request.calls), action.worker, request.ask, now, due)
+        request.calls.append(call)
+        request.out += 1
+        if due < request.deadline - 1.0:  # at its deadline a request ends its calls itself
+            self.at(due, self.outbound.give_up, call, api.Outcome.TIMEOUT)
+        if request.finished:
+            self.outbound.give_up(call, api.Outcome.NOT_SENT)
+        else:
+            self.outbound.start(call)
+
+    def _refuse(self, action: api.Refuse) -> None:
+        if (request := self.requests.get(action.request)) and not request.finished:
+            self._answer(request, resp.busy(min(action.retry_after * 1000.0, self._advice)))
+
+    def _fail(self, action: api.Fail) -> None:
+        if (request := self.requests.get(action.request)) and not request.finished:
+            self._answer(request, resp.FAILED)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        if request := self.requests.get(action.request):
+            self.outbound.give_up(request.calls[action.attempt], api.Outcome.CANCELLED)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.at(action.at * 1000.0, self._tell, api.TimerFired(action.token))
+
+    def _answer(self, request: Request, answer: bytes) -> None:
+        request.answer = answer
+        request.connection.flush()
+        self._settle(request)
+
+    def _settle(self, request: Request) -> None:
+        """Forget a request once it is finished and no call of it is out."""
+        if request.finished and not request.out and request.number in self.requests:
+            del self.requests[request.number]
+            self._held -= len(request.ask.args[4]) if len(request.ask.args) == 5 else 0
--- /dev/null
+++ b/dockthread/net/lifecycle.py
@@ -0,0 +1,43 @@
+"""The phases of an ingress, from start to exit, as the named states of one object."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from loguru import logger
+
+
+class Phase(Enum):
+    STARTING = "starting"  # configured, not yet listening
+    SERVING = "serving"
+    LINGERING = "lingering"  # told to stop: the front still sends, so all is taken and served as before
+    DRAINING = "draining"  # the listener is closed; what was taken is answered
+    STOPPED = "stopped"
+
+
+NEXT = {
+    Phase.STARTING: (Phase.SERVING, Phase.STOPPED),
+    Phase.SERVING: (Phase.LINGERING, Phase.STOPPED),
+    Phase.LINGERING: (Phase.DRAINING, Phase.STOPPED),
+    Phase.DRAINING: (Phase.STOPPED,),
+    Phase.STOPPED: (),
+}
+
+
+class Lifecycle:
+    def __init__(self) -> None:
+        self.phase = Phase.STARTING
+
+    def enter(self, phase: Phase) -> None:
+        if phase not in NEXT[self.phase]:
+            raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
+        logger.info("{} -> {}", self.phase.value, phase.value)
+        self.phase = phase
+
+    @property
+    def ready(self) -> bool:
+        return self.phase in (Phase.SERVING, Phase.LINGERING)
+
+    @property
+    def draining(self) -> bool:
+        return self.phase in (Phase.DRAINING, Phase.STOPPED)
--- /dev/null
+++ b/dockthread/net/outbound.py
@@ -0,0 +1,234 @@
+"""Outbound calls: the connections to backends, one call at a time on each, kept by backend for reuse."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import hiredis
+from loguru import logger
+
+from dockthread.api import Outcome
+from dockthread.clock import Clock
+from dockthread.net import resp
+from dockthread.net.destination_set import Destination, DestinationSet
+
+BUFFER = 16 * 1024
+IDLE_PART = 0.5  # of `ConnIdle`, which is the latest at which a backend closes an idle connection
+
+
+class OutboundCall:
+    """One attempt of one request, from the module's word to start it until its outcome is told."""
+
+    __slots__ = ("ask", "connection", "due", "number", "outcome", "request", "started", "worker", "written")
+
+    def __init__(
+        self, request: int, number: int, worker: int, ask: resp.Ask, started: float, due: float
+    ) -> None:
+        self.request, self.number, self.worker, self.ask = request, number, worker, ask
+        self.started, self.due = started, due
+        self.written = False  # its last byte has gone out: from here on it may run
+        self.outcome: Outcome | None = None
+        self.connection: Connection | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        proof = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+        return self.outcome not in proof if self.outcome else self.written
+
+
+class Connection:
+    """One connection to a backend, and the task that carries its calls one after another.
+
+    One call at a time: behind another it would wait for that one's answer, and giving it up means closing the
+    connection, which would take the other down with it.
+    """
+
+    __slots__ = ("call", "destination", "endpoint", "idle_since", "sock", "task", "up", "wake")
+
+    def __init__(self, destination: Destination, call: OutboundCall) -> None:
+        self.destination, self.endpoint = destination, destination.endpoint
+        family = socket.AF_INET6 if ":" in self.endpoint.host else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.call: OutboundCall | None = call
+        self.up = False
+        self.idle_since = 0.0
+        self.wake: asyncio.Future[None] | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def dead(self) -> bool:
+        """Whether an idle connection was closed, or says something nobody asked for: either is readable."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+
+class Outbound:
+    """All outbound calls of an ingress. `ended` is told every call's outcome, exactly once."""
+
+    def __init__(
+        self,
+        destinations: DestinationSet,
+        clock: Clock,
+        replies: resp.ReplyReader,
+        ended: Callable[[OutboundCall, resp.Reply], None],
+        at: Callable[..., None],
+        *,
+        most: int,
+        conn_idle: float,
+        connect_timeout: float,
+    ) -> None:
+        self._destinations, self._clock, self._replies = destinations, clock, replies
+        self._ended, self._at, self._most = ended, at, most
+        self._keep, self._connect_timeout = conn_idle * IDLE_PART, connect_timeout
+        self._loop = asyncio.get_running_loop()
+        self._connections: set[Connection] = set()
+        self._idle: dict[int, deque[Connection]] = {}  # by worker, the longest idle first
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def start(self, call: OutboundCall) -> None:
+        """Put a call on the connection that was idle for the shortest time, or on a new one."""
+        destination = self._destinations.by_worker[call.worker]
+        idle = self._idle.get(call.worker)
+        while idle:
+            connection = idle.pop()
+            if connection.endpoint != destination.endpoint or connection.dead():
+                self._drop(connection)
+                continue
+            connection.call, call.connection = call, connection
+            if connection.wake is not None and not connection.wake.done():
+                connection.wake.set_result(None)
+            return
+        # Descriptors are a hard limit of the machine: an idle connection elsewhere makes room, else the call
+        # ends unsent, which says nothing against the backend.
+        if len(self._connections) >= self._most and not self.shed():
+            self._end(call, Outcome.NOT_SENT)
+            return
+        try:
+            connection = Connection(destination, call)
+        except OSError as error:
+            logger.warning("no socket for an outbound call: {}", error)
+            self.shed()
+            self._end(call, Outcome.NOT_SENT)
+            return
+        call.connection = connection
+        self._connections.add(connection)
+        connection.task = self._loop.create_task(self._run(connection))
+        self._at(call.started + self._connect_timeout, self._connect_timed_out, connection, call)
+
+    def give_up(self, call: OutboundCall, outcome: Outcome) -> None:
+        """Stop waiting for a call: its connection closes, which tells the backend."""
+        if call.outcome is None:
+            if call.connection is not None:
+                self._drop(call.connection)
+            self._end(call, outcome)
+
+    def forget(self, destination: Destination) -> None:
+        """Close the idle connections to a destination that left, moved or restarted."""
+        for connection in self._idle.pop(destination.worker, ()):
+            self._drop(connection)
+
+    def sweep(self) -> None:
+        """Close connections well before the backend does: a call that crosses its close ends as a reset."""
+        oldest = self._clock.now() - self._keep
+        for idle in self._idle.values():
+            while idle and idle[0].idle_since < oldest:
+                self._drop(idle.popleft())
+
+    def shed(self) -> bool:
+        """Close the connection that has been idle longest; False where none is idle."""
+        held = [idle for idle in self._idle.values() if idle]
+        if not held:
+            return False
+        self._drop(min(held, key=lambda idle: idle[0].idle_since).popleft())
+        return True
+
+    def close(self) -> None:
+        for connection in list(self._connections):
+            self._drop(connection)
+
+    def _drop(self, connection: Connection) -> None:
+        self._connections.discard(connection)
+        if connection.task is not None:
+            connection.task.cancel()
+        connection.sock.close()
+
+    def _end(self, call: OutboundCall, outcome: Outcome) -> None:
+        self._tell(call, resp.Reply(outcome))
+
+    def _tell(self, call: OutboundCall, reply: resp.Reply) -> None:
+        if call.outcome is None:
+            call.outcome, call.connection = reply.outcome, None
+            self._ended(call, reply)
+
+    def _connect_timed_out(self, connection: Connection, call: OutboundCall) -> None:
+        if not connection.up and call.outcome is None:
+            self.give_up(call, Outcome.UNREACHABLE)
+
+    async def _run(self, connection: Connection) -> None:
+        call = connection.call
+        try:
+            endpoint = connection.endpoint
+            await self._loop.sock_connect(connection.sock, (endpoint.host, endpoint.port))
+            connection.up = True
+            reader, buffer = resp.reader(), bytearray(BUFFER)
+            while call := connection.call:
+                if not await self._carry(connection, call, reader, buffer):
+                    break
+        except OSError:
+            # Broken before the last byte was written: the backend cannot have begun it. After: it may have.
+            if call is not None:
+                self._end(call, Outcome.RESET if call.written else Outcome.UNREACHABLE)
+        except Exception:
+            logger.exception("an outbound connection failed")
+            if call is not None:
+                self._end(call, Outcome.RESET if call.written else Outcome.UNREACHABLE)
+        finally:
+            self._connections.discard(connection)
+            connection.sock.close()
+
+    async def _carry(
+        self, connection: Connection, call: OutboundCall, reader: hiredis.Reader, buffer: bytearray
+    ) -> bool:
+        """One call, and the wait for the next; False where the connection is of no more use."""
+        left = call.due - self._clock.now()
+        # Just before the first byte: a drain may have been told while the connection came up.
+        if left <= 0 or not self._destinations.active(call.worker):
+            self._end(call, Outcome.NOT_SENT)
+            return False
+        await self._loop.sock_sendall(connection.sock, call.ask.onward(left))
+        call.written = True
+        seen = 0
+        while (message := reader.gets()) is resp.INCOMPLETE:
+            size = await self._loop.sock_recv_into(connection.sock, buffer)
+            seen += size
+            if not size:
+                self._end(call, Outcome.RESET)
+                return False
+            if seen > resp.MOST_UNFINISHED:
+                logger.warning("{} answers without an end", connection.endpoint)
+                self._end(call, Outcome.ERROR)
+                return False
+            reader.feed(bytes(buffer[:size]))
+        reply = self._replies.reply(message)
+        if reader.len():  # an answer to nothing: whose would the next one be?
+            self._tell(call, reply)
+            return False
+        connection.call, connection.idle_since = None, self._clock.now()
+        wake = connection.wake = self._loop.create_future()
+        if connection.destination.active and connection.endpoint == connection.destination.endpoint:
+            self._idle.setdefault(call.worker, deque()).append(connection)
+            self._tell(call, reply)
+            await wake
+            return True
+        self._tell(call, reply)
+        return False
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -1,6 +1,6 @@
 """Every decision of a gateway. Events, actions, settings: dockthread/api.py; messages: dockthread/message.py.
 
-`_arrived` asks `_admit` whether the customer's decayed unit rate lets a request in (as rakelimit does), `_try`
+`_arrived` asks `_admit` whether the customer's decayed unit rate lets a request in (rakelimit), `_try`
 picks a worker, `_ended` and the timers try again, copy or finish. Each customer has a keeper among its own
 gateways: the others report to it (`_report`), and it tells them when the quota runs short (`_review`)."""
 
--- /dev/null
+++ b/dockthread/settings.py
@@ -0,0 +1,193 @@
+"""Reads what an operator sets: the settings, for adapter and ingress alike, and the ingress's configuration.
+
+Settings come in microseconds. The module is given seconds; what the ingress itself uses is in milliseconds.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from dockthread import api
+
+SECOND, MILLISECOND = 1_000_000, 1_000
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+
+
+class SettingsError(Exception):
+    """Settings or a configuration that cannot be used; the text is one plain line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The names that messages use, in the order by which the module counts them."""
+
+    classes: tuple[str, ...]
+    plans: tuple[str, ...]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        host, _, port = text.rpartition(":")
+        host = host.strip("[]")
+        if not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+            raise SettingsError(f"not an address, host:port: {text!r}")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that one ingress is told at its start. Times are in milliseconds but for the module's settings."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    module: api.Settings
+    names: Names
+    conn_idle: float = 15_000.0
+    connect_timeout: float = 250.0
+    most_open: int = 20_000
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """The configuration at `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY` override its own."""
+    path = environ.get("NODE_CONFIG")
+    if not path:
+        raise SettingsError("NODE_CONFIG is not set: it names the configuration file")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise SettingsError(f"cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise SettingsError(f"{path} is not JSON: {error}") from error
+    try:
+        return _config(raw, environ)
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except KeyError as error:
+        raise SettingsError(f"{path}: {error.args[0]!r} is missing") from error
+    except (ValueError, TypeError, AttributeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    settings = raw["settings"]
+    limits = settings.get("Limits", {})
+    sockets = raw.get("limits", {}).get("sockets", 1024)
+    if sockets < 64:
+        raise SettingsError(f"limits.sockets is {sockets}, and an ingress needs at least 64")
+    return Config(
+        name=environ.get("NODE_NAME") or raw["name"],
+        listen=Address.parse(environ.get("NODE_LISTEN") or raw["listen"]),
+        discovery=Address.parse(environ.get("NODE_DISCOVERY") or raw["discovery"]),
+        seed=int(str(raw.get("seed", "0")), 16),
+        sockets=sockets,
+        known=raw.get("known") or {"rev": 0, "all": True, "targets": []},
+        module=_module(settings),
+        names=Names(
+            classes=tuple(c["Name"] for c in settings["Classes"]),
+            plans=tuple(p["Name"] for p in settings.get("Packages", [])),
+            zones=tuple(settings.get("Azs", ())),
+            kinds=tuple(settings.get("Models", ())),
+        ),
+        conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
+        connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
+        most_open=limits.get("MaxOpen", 20_000),
+    )
+
+
+def read_settings(text: bytes) -> api.Settings:
+    """Settings as the module knows them; keys that it does not know are skipped."""
+    try:
+        return _module(json.loads(text))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise SettingsError(f"settings cannot be read: {error!r}") from error
+
+
+def _module(raw: dict[str, Any]) -> api.Settings:
+    def seconds(value: float) -> float:
+        return value / SECOND
+
+    limits, safety = raw.get("Limits", {}), raw.get("Safety", {})
+    domain, costs, stats = raw.get("Domain", {}), raw.get("Costs", {}), raw.get("Stats", {})
+    classes = tuple(
+        api.RequestClass(
+            aim=seconds(c["Aim"]),
+            deadline=seconds(c["HardLimit"]),
+            worth=c.get("Points", 1.0),
+            late_worth=c.get("LateShare", 0.0),
+            effect=EFFECTS[c["Effect"]],
+            group=api.Group(c.get("Group", "all")),
+            window=seconds(c.get("Window", 0)),
+            stream=c.get("Stream", False),
+        )
+        for c in raw["Classes"]
+    )
+    plans = tuple(
+        api.Plan(
+            rate=p.get("Refill", 0.0),
+            burst=p.get("PeakUnits", 0.0),
+            most_out=p.get("MaxOut", 0),
+            price=p.get("WorthFactor", 1.0),
+            over_worth=p.get("OverWorth", 0.0),
+            over_cost=p.get("ExcessCost", 0.0),
+            ceiling_rate=p.get("CeilingRate", 0.0),
+            ceiling_burst=p.get("CapDepth", 0.0),
+            ceiling_slack=p.get("Tolerance", 0.0),
+        )
+        for p in raw.get("Packages", [])
+    )
+    return api.Settings(
+        number=raw["MyNumber"],
+        gateways=raw["ReplicasOfMe"],
+        classes=classes,
+        plans=plans,
+        zone=raw.get("Zone", 0),
+        tick=seconds(raw.get("Period", 1000)),
+        safety=api.Safety(
+            answer_slack=seconds(safety.get("AnswerSlack", 0)),
+            drain_grace=seconds(safety.get("StopSendingWithin", 0)),
+            cold_share=safety.get("ColdShare", 1.0),
+            cold_time=seconds(safety.get("Cold", 0)),
+            fall_multiple=safety.get("FallMultiple", 1.0),
+            fall_time=seconds(safety.get("TipAfter", SECOND)),
+            ask_within=seconds(safety.get("AskWithin", 10 * SECOND)),
+        ),
+        prices=api.Prices(
+            cross_zone=costs.get("CrossZone", 0.0),
+            waste=costs.get("Waste", 0.0),
+            probe=costs.get("Probe", 0.0),
+            peer=costs.get("Peer", 0.0),
+            late_fail=costs.get("LateFail", 0.0),
+        ),
+        most_attempts=limits.get("SendCap", 1),
+        second_copies=limits.get("SecondCopies", False),
+        may_cancel=limits.get("Cancelling", False),
+        may_probe=limits.get("Probes", False),
+        may_tell=limits.get("Peers", False),
+        may_advise=limits.get("RetryAfter", False),
+        most_advice=seconds(limits.get("MaxRetryAfter", 0)),
+        peer_intake=domain.get("PeerInPerS", 0.0),
+        largest_units=domain.get("Largest", 1),
+        settles_units=domain.get("TruedUp", False),
+        meter_period=seconds(domain.get("Metering", 0)),
+        load_names=tuple(stats.get("Names", ())),
+        load_in_answers=stats.get("Source") == "inline",
+        must_ask_for_list=raw.get("Discovery") == "subscribe",
+    )
