Reuse backend connections: has_data tells leftover bytes, len does not

Checked with a probe: after one whole '+OK' hiredis's Reader.len() is 5 and has_data() False; len counts consumed bytes. Ruled out: destinations that move (lists repeat unchanged entries), dead idle sockets. Faulty lines: 'if reader.len()' in Outbound._carry, '_unfinished = reader.len()' in Inbound._take.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -140,7 +140,7 @@
         reader.feed(bytes(buffer[:size]))
         try:
             while (message := reader.gets()) is not resp.INCOMPLETE:
-                self._unfinished = reader.len()
+                self._unfinished = size if reader.has_data() else 0
                 self._command(message)
                 if self._last:
                     break
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -220,7 +220,9 @@
                 return False
             reader.feed(bytes(buffer[:size]))
         reply = self._replies.reply(message)
-        if reader.len():  # an answer to nothing: whose would the next one be?
+        # An answer to nothing: whose would the next one be? `len()` would not tell: it also counts bytes that
+        # are read already, and so had nearly every connection closed after one call.
+        if reader.has_data():
             self._tell(call, reply)
             return False
         connection.call, connection.idle_since = None, self._clock.now()
