--- a/dockthread/api.py
+++ b/dockthread/api.py
@@ -118,7 +118,6 @@
     may_cancel: bool = False
     may_probe: bool = False
     may_tell: bool = False
-    may_advise: bool = False
     most_advice: float = 0.0
     peer_intake: float = 60.0
     largest_units: float = 1.0
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -292,9 +292,9 @@
         self._finish(request)
 
     def _refuse(self, request: int, rules: api.RequestClass) -> None:
-        """A client that waits past the aim comes back for nothing, and takes units from those in time."""
-        most = self.s.most_advice if self.s.may_advise else 0.0
-        self.actions.append(api.Refuse(request, min(most, ADVICE * rules.aim)))
+        """A client that waits past the aim comes back for nothing, and takes units from those in time. Advice
+        goes with every refusal: it is for whoever passes answers on to say whether clients are handed it."""
+        self.actions.append(api.Refuse(request, min(self.s.most_advice, ADVICE * rules.aim)))
 
     def _finish(self, request: int) -> None:
         self.held.pop(request, None)
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -181,7 +181,6 @@
         may_cancel=limits.get("Cancelling", False),
         may_probe=limits.get("Probes", False),
         may_tell=limits.get("Peers", False),
-        may_advise=limits.get("RetryAfter", False),
         most_advice=seconds(limits.get("MaxRetryAfter", 0)),
         peer_intake=domain.get("PeerInPerS", 0.0),
         largest_units=domain.get("Largest", 1),
