Share one alarm among the timers of a tick, and send refusals from the reading task

Done: alarms fall on the module's tick (4 ms), as the simulator's timers do; an answer that is known at once is sent by the task that read the request instead of a task of its own.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -86,6 +86,11 @@
 
     def flush(self) -> None:
         """Send every answer that has none missing before it."""
+        if self._collect() and self._writer is None:
+            self._writer = self._loop.create_task(self._write())
+
+    def _collect(self) -> bool:
+        """Move the answers that may be sent to those unsent; False where there is nothing to send."""
         pending = self._pending
         while pending and (answer := pending[0].answer) is not None:
             pending.popleft()
@@ -94,8 +99,8 @@
         if self._unsent_bytes > MOST_UNSENT:
             logger.warning("a client does not read its answers: connection closed")
             self.close()
-        elif self._unsent and self._writer is None:
-            self._writer = self._loop.create_task(self._write())
+            return False
+        return bool(self._unsent)
 
     async def _write(self) -> None:
         try:
@@ -126,21 +131,25 @@
         try:
             while size := await self._loop.sock_recv_into(self.sock, buffer):
                 if not self._last:
-                    self._take(buffer, size)
+                    self._take(bytes(buffer[:size]))
+                    # What was refused at once is sent from here, with no task of its own.
+                    if self._collect() and self._writer is None:
+                        self._writer = self._task
+                        await self._write()
         except OSError:
             pass
         except Exception:
             logger.exception("an inbound connection failed")
         self.close()
 
-    def _take(self, buffer: bytearray, size: int) -> None:
+    def _take(self, data: bytes) -> None:
         self.used = self._host.clock.now()
-        self._unfinished += size
+        self._unfinished += len(data)
         reader = self._reader
-        reader.feed(bytes(buffer[:size]))
+        reader.feed(data)
         try:
             while (message := reader.gets()) is not resp.INCOMPLETE:
-                self._unfinished = size if reader.has_data() else 0
+                self._unfinished = len(data) if reader.has_data() else 0
                 self._command(message)
                 if self._last:
                     break
@@ -149,7 +158,6 @@
                     self._say_last(resp.TOO_LONG)
         except resp.ProtocolError:
             self._say_last(resp.BAD_FRAMING)
-        self.flush()
 
     def _say_last(self, answer: bytes) -> None:
         self._last = True
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -58,6 +58,7 @@
         self._loop = asyncio.get_running_loop()
         self.vocabulary = resp.Vocabulary(config.names, config.module.classes)
         self.gateway = Gateway(config.module, config.seed, clock.now() / 1000.0)
+        self._tick = max(1.0, config.module.tick * 1000.0)
         self._advice = config.module.most_advice * 1000.0
         self._events: deque[api.Event] = deque()
         self._telling = False
@@ -204,15 +205,16 @@
     def at(self, due: float, then: Callable[..., None], *args: Any) -> None:
         self._timer_count += 1
         heappush(self._timers, (due, self._timer_count, then, args))
-        if due < self._armed:
+        if due < self._armed - self._tick:  # within the same tick or so the alarm serves both
             self._arm()
 
     def _arm(self) -> None:
         if self._alarm is not None:
             self._alarm.cancel()
         self._armed = self._timers[0][0]
-        # Whole milliseconds, up: the loop knows no finer ones, and an early alarm would only be set again.
-        wait = max(1, ceil(self._armed - self.clock.now())) / 1000.0
+        # Due at the end of the module's tick, as in the simulator: the timers of one tick share an alarm.
+        tick, now = self._tick, self.clock.now()
+        wait = max(1, ceil(ceil(max(now, self._armed) / tick) * tick - now)) / 1000.0
         self._alarm = self._loop.call_later(wait, self.run_timers)
 
     def run_timers(self) -> None:
