--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -22,7 +22,7 @@
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.outbound import Outbound, OutboundCall
 from dockthread.rules import Gateway
-from dockthread.settings import Config
+from dockthread.settings import Address, Config
 
 BACKLOG = 1024
 RESERVE = 24  # descriptors for all but connections: standard streams, the loop's own, listener, watch
@@ -68,6 +68,7 @@
         self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._timer_count = 0
         self._armed, self._alarm = inf, None  # type: float, asyncio.TimerHandle | None
+        self.address = config.listen
         self._stop = asyncio.Event()
         self._emptied = asyncio.Event()
         self._inbound: set[Inbound] = set()
@@ -148,7 +149,8 @@
         except OSError:
             listener.close()
             raise
-        logger.info("{} listens on {}:{}", self.config.name, *listener.getsockname()[:2])
+        self.address = Address(*listener.getsockname()[:2])  # its port may have been left to the system
+        logger.info("{} listens on {}", self.config.name, self.address)
         return listener
 
     async def _accept(self, listener: socket.socket) -> None:
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -88,6 +88,8 @@
 
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     settings = raw["settings"]
+    if not isinstance(settings, dict):
+        raise SettingsError("settings is not an object")
     limits = settings.get("Limits", {})
     sockets = raw.get("limits", {}).get("sockets", 1024)
     if sockets < 64:
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,169 @@
+"""Tables of cases for all that is read: requests, backends' replies, lists, watches, configurations."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dockthread import api
+from dockthread.clock import ManualClock
+from dockthread.net import resp
+from dockthread.net.destination_set import DestinationSet, WatchError, WatchParser
+from dockthread.settings import Address, Names, SettingsError, read_config
+from tests.loopback import SETTINGS, config, message, raw_config, target
+
+KNOWN = message(1, full=True)
+CONFIG = config(KNOWN)
+VOCABULARY = resp.Vocabulary(CONFIG.names, CONFIG.module.classes)
+TERMS = b"c=status,t=gross,d=480,units=2,spread=3,first=1"
+
+
+@pytest.mark.parametrize(
+    ("terms", "onward"),
+    [
+        (TERMS, b"c=status,t=gross,d=77,units=2,spread=3,first=1"),
+        (b"d=480,c=status,t=gross", b"d=77,c=status,t=gross"),
+        (b"c=status,t=gross,r=1,d=480", b"c=status,t=gross,r=1,d=77"),
+        (b"c=status,t=gross,d=480,k=x,new=d=480", b"c=status,t=gross,d=77,k=x,new=d=480"),
+    ],
+)
+def test_onward_command_differs_in_d_alone(terms: bytes, onward: bytes) -> None:
+    for body in ([], [b"BO\r\nDY"], [b""]):
+        ask = VOCABULARY.ask([b"API.READ", b"00000000b4d65521", b"id", terms, *body])
+        sent = ask.onward(77.9)
+        assert sent == resp.command(b"API.READ", b"00000000b4d65521", b"id", onward, *body)
+    assert (ask.customer, ask.time_left, ask.request_class) == (0xB4D65521, 480.0, 0)
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        [b"API.READ"],
+        [b"API.READ", b"1", b"id", TERMS, b"a", b"b"],
+        [b"API.WRITE", b"1", b"id", TERMS],
+        [b"API.READ", b"xyz", b"id", TERMS],
+        [b"API.READ", b"-1", b"id", TERMS],
+        [b"API.READ", b"1", b"id", b""],
+        *([b"API.READ", b"1", b"id", TERMS.replace(*swap)] for swap in [
+            (b"status", b"nothing"), (b"gross", b"nothing"), (b"d=480", b"e=480"), (b"d=480", b"d="),
+            (b"d=480", b"d=nan"), (b"d=480", b"d=0"), (b"d=480", b"d=inf"), (b"units=2", b"units=0"),
+            (b"spread=3", b"spread=0"), (b"first=1", b"first=-1"), (b"units=2", b"units"),
+        ]),
+    ],
+)  # fmt: skip
+def test_bad_requests_are_told_so(args: list[bytes]) -> None:
+    with pytest.raises(resp.BadCommand):
+        VOCABULARY.ask(args)
+
+
+OK, ERROR, FULL = api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL
+
+
+@pytest.mark.parametrize(
+    ("wire", "expected"),
+    [
+        (b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", (OK, b"v", None, 0.0, ())),
+        (b"*3\r\n$0\r\n\r\n$14\r\nused=37,cost=4\r\n$-1\r\n", (OK, b"", 0.37, 4.0, ())),
+        (b"*3\r\n$1\r\nv\r\n$-1\r\n$24\r\nqueue=1,qps=2,inflight=7\r\n", (OK, b"v", None, 0.0, (7, 2, 1))),
+        (b"*2\r\n$1\r\nv\r\n$7\r\nused=no\r\n", (OK, b"v", None, 0.0, ())),
+        (b"-ERR failed\r\n", (ERROR, b"", None, 0.0, ())),
+        (b"-ERR failed used=12 inflight=7,qps=2,queue=1\r\n", (ERROR, b"", 0.12, 0.0, (7, 2, 1))),
+        (b"-BUSY used=150\r\n", (FULL, b"", 1.5, 0.0, ())),
+        (b"-BUSY\r\n", (FULL, b"", None, 0.0, ())),
+        (b"-SYNTAX\r\n", (ERROR, b"", None, 0.0, ())),
+        (b"$-1\r\n", (ERROR, b"", None, 0.0, ())),
+        (b"*1\r\n$-1\r\n", (ERROR, b"", None, 0.0, ())),
+        (b"+OK\r\n", (ERROR, b"", None, 0.0, ())),
+    ],
+)
+def test_backends_replies(wire: bytes, expected: tuple[Any, ...]) -> None:
+    reader = resp.reader()
+    reader.feed(wire)
+    reply = resp.ReplyReader(("rif", "rate", "q")).reply(reader.gets())
+    assert (reply.outcome, reply.value, reply.used, reply.cost, reply.load) == expected
+
+
+def destinations(clock: ManualClock | None = None) -> DestinationSet:
+    return DestinationSet(Names((), (), ("hall-a",), ()), clock or ManualClock())
+
+
+def test_a_uid_is_one_worker_and_an_unchanged_boot_no_restart() -> None:
+    clock = ManualClock(now=5_000.0, unix=1_700_000_000_000.0)
+    known, moved = destinations(clock), list[int]()
+    known.moved = lambda destination: moved.append(destination.worker)
+    first = known.apply(message(1, target("a", 1), target("b", 2, boot_ms=1_700_000_000_000), full=True))
+    assert [(e.worker, e.started) for e in first.entries] == [(1, 0.0), (2, 5.0)]
+    clock.advance(60_000)  # the same boot_ms, told again, must read as the same start
+    again = known.apply(message(2, target("b", 2, boot_ms=1_700_000_000_000)))
+    assert (again.kind, again.entries[0].started, moved) == (api.ListKind.CHANGES, 5.0, [])
+    known.apply(message(3, target("b", 9, boot_ms=1_700_000_001_000)))
+    assert (known.by_worker[2].endpoint, moved) == (Address("127.0.0.1", 9), [2])
+    known.apply(message(4, target("b", 9), full=True))
+    assert (known.active(1), known.active(2), known.revision) == (False, True, 4)
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        [], {"rev": 1}, message(1) | {"targets": [{}]}, message(1, target("a", 1) | {"state": "new"}),
+        message(1, target("a", 1) | {"endpoint": "nowhere"}), message(1, target("a", 1) | {"uid": 7}),
+        message(1, target("a", 1) | {"boot_ms": "x"}),
+    ],
+)  # fmt: skip
+def test_malformed_lists_change_nothing(said: Any) -> None:
+    known = destinations()
+    with pytest.raises(WatchError):
+        known.apply(said)
+    assert (known.by_worker, known.revision) == ({}, 0)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "found"),
+    [
+        ([HEAD + b'8\r\n{"a":1}\n\r\n'], [{"a": 1}]),
+        ([HEAD, b"4\r\n", b'{"a"', b"\r\n4\r\n:1}\n\r\n1\r\n\n\r\n"], [{"a": 1}]),
+        ([HEAD + b"1\r\n\n\r\n1\r\n\n\r\n"], []),
+        ([HEAD + b"6\r\n{}\n[]\n\r\n3\r\n{}\n\r\n"], [{}, [], {}]),
+        ([b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"], WatchError),
+        ([b"+PONG\r\n"], WatchError),
+        ([HEAD + b"3\r\n{]\n\r\n"], WatchError),
+    ],
+)
+def test_a_watch_is_read_line_by_line(pieces: list[bytes], found: Any) -> None:
+    parser = WatchParser()
+    if found is WatchError:
+        with pytest.raises(WatchError):
+            [parser.feed(piece) for piece in pieces]
+    else:
+        assert [said for piece in pieces for said in parser.feed(piece)] == found
+
+
+@pytest.mark.parametrize(
+    ("changes", "says"),
+    [
+        ({"settings": None}, "not an object"), ({"listen": "nowhere"}, "not an address"),
+        ({"limits": {"sockets": 8}}, "limits.sockets"), ({"seed": "xyz"}, "base 16"),
+        ({"settings": SETTINGS | {"Classes": [{"Name": "a"}]}}, "Aim"),
+        ({"listen": "127.0.0.1:70000"}, "not an address"),
+    ],
+)  # fmt: skip
+def test_bad_configurations_are_one_plain_line(changes: dict[str, Any], says: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps({**raw_config(KNOWN, 9), **changes}))
+    with pytest.raises(SettingsError, match=says) as caught:
+        read_config({"NODE_CONFIG": str(path)})
+    assert len(str(caught.value).splitlines()) == 1
+
+
+def test_the_environment_overrides_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(raw_config(KNOWN, 9)))
+    environ = {"NODE_CONFIG": str(path), "NODE_NAME": "n7", "NODE_LISTEN": "[::1]:5"}
+    read = read_config(environ)
+    assert (read.name, read.listen, read.seed, read.conn_idle) == ("n7", Address("::1", 5), 0x8C1F, 15_000.0)
--- /dev/null
+++ b/tests/test_rules_on_sockets.py
@@ -0,0 +1,345 @@
+"""One test with real sockets for each rule that the ingress itself has to keep."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from dockthread import api
+from dockthread.clock import Clock, ManualClock
+from dockthread.net import outbound, resp
+from dockthread.net.ingress import Ingress
+from dockthread.net.outbound import OutboundCall
+from tests.loopback import SETTINGS, Backend, Client, message, run, serves, serving, target, until
+
+
+async def hangs(args: list[bytes]) -> bytes | None:
+    await asyncio.Event().wait()
+    return None
+
+
+async def breaks(args: list[bytes]) -> bytes | None:
+    return None
+
+
+async def fails(args: list[bytes]) -> bytes | None:
+    return b"-ERR failed\r\n"
+
+
+def a_call(ingress: Ingress, worker: int = 1, ms: float = 4000.0) -> OutboundCall:
+    terms = b"c=status,t=gross,d=4000"
+    ask = ingress.vocabulary.ask([b"API.READ", b"b4", b"id", terms])
+    now = ingress.clock.now()
+    return OutboundCall(0, 0, worker, ask, now, now + ms)
+
+
+def collect(ingress: Ingress) -> list[tuple[OutboundCall, api.Outcome]]:
+    """Outcomes of calls that a test starts itself."""
+    ended = list[tuple[OutboundCall, api.Outcome]]()
+    ingress.outbound._ended = lambda call, reply: ended.append((call, reply.outcome))
+    return ended
+
+
+def test_answers_come_once_and_in_the_order_of_the_commands() -> None:
+    async def scenario() -> None:
+        gate = asyncio.Event()
+
+        async def slow_first(args: list[bytes]) -> bytes | None:
+            if args[4] == b"first":
+                await gate.wait()
+            return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(args[4]), args[4])
+
+        backend = Backend(slow_first)
+        async with serving(backend) as (ingress, client, _):
+            for body in (b"first", b"second"):
+                client.ask(body=body)
+            client.send(b"PING")
+            await until(lambda: len(backend.seen) == 2 and len(ingress.requests) == 1)
+            gate.set()
+            assert [await client.answer() for _ in range(3)] == [b"first", b"second", b"PONG"]
+            assert not ingress.requests
+
+    run(scenario())
+
+
+def test_onward_commands_keep_their_form_and_connections_are_reused() -> None:
+    async def scenario() -> None:
+        backend = Backend()
+        async with serving(backend) as (_, client, _):
+            for _ in range(5):
+                assert await client.call(d=3000, body=b"BO\r\nDY") == b"value"
+            assert await client.call("checkout") == b"value"
+        verb, customer, wire_id, terms, body = backend.seen[0]
+        assert (verb, customer, wire_id, body) == (b"API.READ", b"b4", b"9b1f03aa5c7e2d41", b"BO\r\nDY")
+        head, left, rest = (
+            terms.partition(b"d=")[0],
+            terms.split(b"d=")[1].split(b",")[0],
+            terms.split(b",")[3:],
+        )
+        assert (head, rest) == (b"c=status,t=gross,", [b"units=2", b"spread=3", b"first=1"])
+        assert 0 < int(left) <= 3000
+        # Once every connection was closed after one call: reader.len() counts bytes that were read already.
+        assert backend.opened == 1
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("kind", "answer", "expected", "runs"),
+    [
+        ("checkout", breaks, "ERR failed", 1),
+        ("checkout", fails, "ERR failed", 1),
+        ("status", breaks, "BUSY 375", 4),
+    ],
+)
+def test_what_may_have_run_is_repeated_only_where_safe(
+    kind: str, answer: Any, expected: str, runs: int
+) -> None:
+    async def scenario() -> None:
+        backends = [Backend(answer) for _ in range(4)]
+        async with serving(*backends) as (_, client, _):
+            assert await client.call(kind) == expected
+            assert sum(len(backend.seen) for backend in backends) == runs
+
+    run(scenario())
+
+
+def test_an_idle_connection_that_its_backend_closed_is_not_written_to() -> None:
+    async def scenario() -> None:
+        backend = Backend()
+        async with serving(backend) as (_, client, _):
+            assert await client.call("checkout") == b"value"
+            backend.writers[0].close()
+            await backend.writers[0].wait_closed()
+            # A reset here would fail a checkout that never ran.
+            assert await client.call("checkout") == b"value"
+            assert (backend.opened, len(backend.seen)) == (2, 2)
+
+    run(scenario())
+
+
+def test_idle_connections_close_before_the_backend_would_close_them() -> None:
+    async def scenario() -> None:
+        backend, clock = Backend(), ManualClock()
+        async with serving(backend, clock=clock) as (ingress, client, _):
+            assert await client.call() == b"value"
+            clock.advance(15_000 * outbound.IDLE_PART - 1)
+            ingress.outbound.sweep()
+            assert len(ingress.outbound) == 1
+            clock.advance(2)
+            ingress.outbound.sweep()
+            await until(lambda: backend.closed == 1)
+
+    run(scenario())
+
+
+def test_nothing_new_goes_to_a_draining_backend_even_if_told_while_connecting() -> None:
+    async def scenario() -> None:
+        drained, other = Backend(), Backend()
+        async with serving(drained, other) as (ingress, client, discovery):
+            ended = collect(ingress)
+            ingress.outbound.start(a_call(ingress))
+            ingress.destinations.apply(message(2, target("s-0", 1, "leaving")))
+            await until(lambda: ended)
+            assert [outcome for _, outcome in ended] == [api.Outcome.NOT_SENT]
+            ingress.outbound._ended = ingress._call_ended
+            discovery.push(message(3, target("s-0", 1, "left")))
+            await until(lambda: ingress.destinations.revision == 3)
+            for _ in range(10):
+                assert await client.call() == b"value"
+            assert (len(drained.seen), len(other.seen)) == (0, 10)
+
+    run(scenario())
+
+
+def test_a_client_that_goes_away_takes_its_calls_with_it() -> None:
+    async def scenario() -> None:
+        backend = Backend(hangs)
+        async with serving(backend) as (ingress, client, _):
+            client.ask()
+            await until(lambda: backend.seen)
+            client.writer.close()
+            await until(lambda: backend.closed == 1 and not ingress.requests)
+
+    run(scenario())
+
+
+def test_a_request_past_its_time_is_answered_by_its_deadline() -> None:
+    async def scenario() -> None:
+        backend, clock = Backend(hangs), ManualClock()
+        async with serving(backend, clock=clock) as (ingress, client, _):
+            client.ask("checkout", d=2000)
+            await until(lambda: backend.seen)
+            clock.advance(1999)
+            ingress.run_timers()
+            assert await client.answer() == "ERR failed"  # it may have run, so not -BUSY
+            await until(lambda: backend.closed == 1 and not ingress.requests)
+
+    run(scenario())
+
+
+def test_refusals_say_when_to_come_back_no_later_than_clients_heed() -> None:
+    async def scenario() -> None:
+        plan = {"Name": "gross", "Refill": 0.001, "PeakUnits": 1.0}
+        backend = Backend()
+        async with serving(backend, settings=SETTINGS | {"Packages": [plan]}) as (_, client, _):
+            answers = {kind: {await client.call(kind) for _ in range(3)} for kind in ("status", "checkout")}
+            assert {a for a in answers["status"] if a != b"value"} == {"BUSY 375"}
+            assert {a for a in answers["checkout"] if a != b"value"} == {"BUSY 500"}
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("sent", "answers"),
+    [
+        (b"*1\r\n$4\r\nping\r\n", ["PONG"]),
+        (b"*2\r\n$4\r\nPING\r\n$2\r\nhi\r\n", ["hi"]),
+        (b"*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n*2\r\n$6\r\nCLIENT\r\n$1\r\nx\r\n", ["OK", "OK"]),
+        (b"*1\r\n$5\r\nHELLO\r\n", ["ERR unknown command"]),
+        (b"*2\r\n$8\r\nAPI.READ\r\n$1\r\n7\r\n", ["ERR wrong number of arguments"]),
+        (b"*1\r\n:7\r\n*0\r\n", ["ERR a command is an array of bulk strings"]),
+        (b"*1\r\n$4\r\nQUIT\r\n*1\r\n$4\r\nPING\r\n", ["OK", None]),
+        (b"PING\r\n", ["ERR Protocol error", None]),
+        (b"*1\r\n$4\r\nPING\r\n*1\r\n$x\r\n", ["PONG", "ERR Protocol error", None]),
+        (b"*2\r\n$4\r\nPING\r\n$400000\r\n" + b"x" * 300_000, ["ERR Protocol error: message too long", None]),
+    ],
+)
+def test_plain_and_malformed_commands(sent: bytes, answers: list[str | None]) -> None:
+    async def scenario() -> None:
+        async with serving(Backend()) as (ingress, client, _):
+            client.writer.write(sent)
+            for expected in answers:
+                found = await client.answer()
+                assert (found.decode() if isinstance(found, bytes) else found) == expected
+            assert await (await Client.open(ingress.address.port)).call() == b"value"  # others are served on
+
+    run(scenario())
+
+
+def test_a_silent_watch_is_begun_again_after_the_last_revision() -> None:
+    async def scenario() -> None:
+        clock = ManualClock()
+        async with serving(Backend(), clock=clock) as (ingress, _, discovery):
+            discovery.push(message(41, target("s-1", 1)))
+            await until(lambda: ingress.destinations.revision == 41)
+            clock.advance(3_000)
+            ingress.watch.check()
+            await asyncio.sleep(0)
+            assert len(discovery.paths) == 1  # an empty line may come as late as that
+            clock.advance(1_000)
+            ingress.watch.check()
+            await until(lambda: len(discovery.paths) == 2)
+            paths = [b"/discovery/hosts?watch=1&after=%d" % rev for rev in (1, 41)]
+            assert discovery.paths == paths
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("kind", "sent"), [("status", False), ("checkout", True)])
+def test_a_fault_in_the_module_costs_one_request_a_true_answer(kind: str, sent: bool) -> None:
+    async def scenario() -> None:
+        backend = Backend()
+        async with serving(backend) as (ingress, client, _):
+            handle = ingress.gateway.handle
+
+            def faulty(now: float, event: api.Event) -> list[api.Action]:
+                ingress.gateway.handle = handle  # type: ignore[method-assign]
+                if sent:
+                    handle(now, event)  # its actions are lost with the exception, but for `actions`
+                raise RuntimeError("a fault made by a test")
+
+            ingress.gateway.handle = faulty  # type: ignore[method-assign]
+            assert await client.call(kind) == "ERR failed"  # never -BUSY: a call may be out
+            assert await client.call(kind) == b"value"
+            await until(lambda: not ingress.requests)
+
+    run(scenario())
+
+
+def test_descriptors_stay_in_their_budget() -> None:
+    async def scenario() -> None:
+        busy, other = Backend(hangs), Backend()
+        async with serving(busy, other, limits={"sockets": 80}) as (ingress, _, _):
+            ended = collect(ingress)
+            most = ingress.outbound._most
+            ingress.outbound.start(a_call(ingress, worker=2))
+            await until(lambda: ended)  # its connection is idle now, and makes room for the last one
+            for _ in range(most + 1):
+                ingress.outbound.start(a_call(ingress))
+            assert [outcome for _, outcome in ended[1:]] == [api.Outcome.NOT_SENT]
+            assert len(ingress.outbound) == most
+            # Over their budget clients still get an answer, and an idle one makes room before a busy one.
+            clients = [await Client.open(ingress.address.port) for _ in range(ingress._most_inbound + 3)]
+            await until(lambda: len(ingress._inbound) == ingress._most_inbound)
+            assert sum([await c.answer() is None for c in clients[:3]]) == 3
+            clients[-1].send(b"PING")
+            assert await clients[-1].answer() == b"PONG"
+
+    run(scenario())
+
+
+def test_a_connection_that_never_comes_up_ends_in_time_and_proves_nothing_ran() -> None:
+    async def scenario() -> None:
+        async with serving(Backend()) as (ingress, _, _):
+            with socket.socket() as full:
+                full.bind(("127.0.0.1", 0))
+                full.listen(0)
+                port = full.getsockname()[1]
+                fill = [
+                    socket.socket() for _ in range(4)
+                ]  # the queue is full: what comes now is not answered
+                for one in fill:
+                    one.setblocking(False)
+                    one.connect_ex(("127.0.0.1", port))
+                ingress.destinations.apply(message(2, target("s-9", port)))
+                ended = collect(ingress)
+                ingress.outbound.start(a_call(ingress, worker=2))
+                await until(lambda: ended)
+                assert [outcome for _, outcome in ended] == [api.Outcome.UNREACHABLE]
+                assert ended[0][0].started + 250 <= Clock().now()
+                for one in fill:
+                    one.close()
+
+    run(scenario())
+
+
+def test_a_call_given_up_closes_its_connection_and_leaves_others_alone() -> None:
+    async def scenario() -> None:
+        backend = Backend(hangs)
+        async with serving(backend) as (ingress, _, _):
+            ended, calls = collect(ingress), [a_call(ingress) for _ in range(2)]
+            for call in calls:
+                ingress.outbound.start(call)
+            await until(lambda: len(backend.seen) == 2)
+            ingress.outbound.give_up(calls[0], api.Outcome.TIMEOUT)
+            await until(lambda: backend.closed == 1)
+            assert ended == [(calls[0], api.Outcome.TIMEOUT)]
+            assert (backend.opened, len(ingress.outbound)) == (2, 1)
+
+    run(scenario())
+
+
+def test_an_answer_to_nothing_ends_the_connection() -> None:
+    async def scenario() -> None:
+        async def twice(args: list[bytes]) -> bytes | None:
+            return (await serves(args) or b"") * 2
+
+        backend = Backend(twice)
+        async with serving(backend) as (_, client, _):
+            assert [await client.call() for _ in range(2)] == [b"value", b"value"]
+            assert backend.opened == 2
+
+    run(scenario())
+
+
+def test_only_busy_or_an_error_is_said_without_a_backend() -> None:
+    async def scenario() -> None:
+        async with serving(Backend(), settings=SETTINGS | {"Limits": {"MaxOpen": 0}}) as (_, client, _):
+            assert await client.call() == "BUSY"
+            assert resp.busy(0.0) == b"-BUSY\r\n"
+
+    run(scenario())
