--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -120,16 +120,22 @@
         try:
             await self._stop.wait()
             self.lifecycle.enter(Phase.LINGERING)
-            await asyncio.sleep(LINGER / 1000.0)
+            await self._pause(LINGER)
             accepting.cancel()
             self._empty_backlog(listener)
-            await asyncio.sleep(LAST_READS / 1000.0)
+            await self._pause(LAST_READS)
             self._empty_backlog(listener)
             listener.close()
             self.lifecycle.enter(Phase.DRAINING)
             for connection in list(self._inbound):
                 connection.close_if_done()
-            if self._inbound:
+            # By then all is answered; what still stands is a client that does not read.
+            longest = max(c.deadline for c in self.config.module.classes) * 1000.0
+            self.at(self.clock.now() + longest + LINGER, self._close_all)
+            while self._inbound:
+                # Cleared first: it is set whenever the last connection closes, which happens on any quiet
+                # day, and once let the ingress stop with requests unanswered.
+                self._emptied.clear()
                 await self._emptied.wait()
         finally:
             watching.cancel()
@@ -189,6 +195,10 @@
             min(idle, key=lambda connection: connection.used).close()
         return bool(idle)
 
+    def _close_all(self) -> None:
+        for connection in list(self._inbound):
+            connection.close()
+
     def closed(self, connection: Inbound) -> None:
         self._inbound.discard(connection)
         if not self._inbound:
@@ -233,6 +243,11 @@
         else:
             self._armed = inf
 
+    async def _pause(self, ms: float) -> None:
+        over = self._loop.create_future()
+        self.at(self.clock.now() + ms, over.set_result, None)
+        await over
+
     # What happens, told to the module
 
     def _tell(self, event: api.Event) -> None:
--- /dev/null
+++ b/example/ask.py
@@ -0,0 +1,37 @@
+"""Asks an ingress for a seat's status a few times, and checks one seat out.
+
+python example/ask.py [127.0.0.1:6380]
+"""
+
+from __future__ import annotations
+
+import secrets
+import socket
+import sys
+
+import hiredis
+
+
+def ask(sock: socket.socket, *args: str) -> object:
+    parts = [f"${len(arg)}\r\n{arg}\r\n" for arg in args]
+    sock.sendall(f"*{len(args)}\r\n{''.join(parts)}".encode())
+    reader = hiredis.Reader(encoding="utf-8")
+    while (answer := reader.gets()) is False:
+        data = sock.recv(65536)
+        if not data:
+            raise ConnectionError("the ingress closed the connection")
+        reader.feed(data)
+    return answer
+
+
+def main() -> None:
+    host, port = (sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:6380").rsplit(":", 1)
+    with socket.create_connection((host, int(port)), timeout=15) as sock:
+        print("PING:", ask(sock, "PING"))
+        for verb, kind in [("API.READ", "seat-status")] * 3 + [("API.WRITE", "seat-checkout")]:
+            terms = f"c={kind},t=klein,d=2000,units=1,spread=1,first=0"
+            print(f"{kind}:", ask(sock, verb, "00000000b4d65521", secrets.token_hex(8), terms))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,178 @@
+"""The program as it is started: spoken to over sockets, stopped by signal, and misconfigured."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from dockthread.clock import ManualClock
+from dockthread.net.lifecycle import Lifecycle, Phase
+from tests.loopback import Backend, Client, run, serves, serving, until
+
+ROOT = Path(__file__).parent.parent
+CONFIG = ROOT / "example" / "config.json"
+
+
+@contextmanager
+def program(*command: str, says: str, **environ: str) -> Iterator[tuple[subprocess.Popen[str], str]]:
+    """A process, once it has printed the line that holds its address, and that address."""
+    with subprocess.Popen(
+        [sys.executable, *command],
+        cwd=ROOT,
+        env={**os.environ, **environ},
+        text=True,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    ) as process:
+        try:
+            assert process.stdout is not None
+            for line in process.stdout:
+                if found := re.search(rf"{says} (\S+)", line):
+                    yield process, found[1]
+                    break
+            else:
+                raise AssertionError(f"{command} ended without a word")
+        finally:
+            process.kill()
+
+
+@contextmanager
+def example(work_ms: int) -> Iterator[tuple[subprocess.Popen[str], str]]:
+    """The example as its README starts it, but for its ports."""
+    toy = ("example/toy_server.py", "--discovery", "127.0.0.1:0", "--work-ms", str(work_ms))
+    with program(*toy, says="discovery at") as (_, discovery):
+        environ = {"NODE_CONFIG": str(CONFIG), "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": discovery}
+        with program("-m", "dockthread", says="listens on", **environ) as found:
+            run(ready(found[1]))
+            yield found
+
+
+async def ready(address: str) -> None:
+    """Until it is ready to serve: here it has to hear the destination set from discovery first."""
+    client = await Client.open(int(address.rsplit(":")[-1]))
+    answer = b""
+    while answer != b"PONG":
+        client.send(b"PING")
+        answer = await client.answer()
+        assert answer in (b"PONG", "LOADING not ready to serve")
+
+
+def test_the_example_serves_a_newcomer() -> None:
+    with example(work_ms=5) as (_, address):
+        done = subprocess.run(
+            [sys.executable, "example/ask.py", address],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=60,
+        )
+    lines = done.stdout.splitlines()
+    assert lines[0] == "PING: PONG"
+    assert [bool(re.search("says yes to", line)) for line in lines[1:]] == [True] * 4
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_ends_it_once_all_that_was_taken_is_answered(number: signal.Signals) -> None:
+    with example(work_ms=1500) as (process, address):
+
+        async def scenario() -> None:
+            client = await Client.open(int(address.rsplit(":")[-1]))
+            terms = b"c=seat-checkout,t=klein,d=9000"
+            client.send(b"API.WRITE", b"b4", b"id", terms)
+            client.send(b"PING")  # answered behind it
+            process.send_signal(number)
+            assert (await client.answer()).endswith(b"says yes to id")
+            assert await client.answer() == b"PONG"
+            assert await client.answer() is None
+
+        run(scenario())
+        assert process.wait(timeout=30) == 0
+        assert process.stdout is not None
+        phases = re.findall(r"INFO \S+ -> (\S+)", process.stdout.read())
+    assert phases == ["serving", "lingering", "draining", "stopped"]
+
+
+def test_while_lingering_it_takes_new_connections_and_then_closes_idle_ones() -> None:
+    async def scenario() -> None:
+        backend, clock = Backend(serves), ManualClock()
+        async with serving(backend, clock=clock) as (ingress, client, _):
+            ingress.stop()
+            await until(lambda: ingress.lifecycle.phase is Phase.LINGERING)
+            late = await Client.open(ingress.address.port)
+            assert await late.call() == b"value"
+            clock.advance(499)
+            ingress.run_timers()
+            assert ingress.lifecycle.phase is Phase.LINGERING
+            for _ in range(2):  # the end of lingering, and the last reads
+                clock.advance(21)
+                ingress.run_timers()
+                await until(lambda: ingress._timers)
+                await late.call() if ingress.lifecycle.ready else None
+            await until(lambda: ingress.lifecycle.phase is Phase.STOPPED)
+            assert [await late.answer(), await client.answer()] == [None, None]
+            with pytest.raises(ConnectionRefusedError):
+                await Client.open(ingress.address.port)
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(("start", "to"), [(Phase.STARTING, Phase.DRAINING), (Phase.DRAINING, Phase.SERVING)])
+def test_phases_have_no_short_cuts_and_no_way_back(start: Phase, to: Phase) -> None:
+    lifecycle = Lifecycle()
+    lifecycle.phase = start
+    with pytest.raises(RuntimeError):
+        lifecycle.enter(to)
+
+
+@pytest.mark.parametrize(
+    "environ",
+    [
+        {"NODE_CONFIG": ""},
+        {"NODE_CONFIG": "/no/such/file"},
+        {"NODE_CONFIG": str(ROOT / "README.md")},
+        {"NODE_LISTEN": "nowhere"},
+        {"NODE_LISTEN": "192.0.2.1:1"},
+        {"DOCKTHREAD_LOG": "loud"},
+    ],
+)
+def test_a_bad_configuration_ends_it_with_one_plain_line(environ: dict[str, str]) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "dockthread"],
+        cwd=ROOT,
+        env={**os.environ, "NODE_CONFIG": str(CONFIG), **environ},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert done.returncode != 0
+    assert len(done.stderr.splitlines()) == 1
+    assert done.stderr.startswith("dockthread: ")
+
+
+def test_a_malformed_known_list_ends_it_with_one_plain_line(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(
+        json.dumps(json.loads(CONFIG.read_text()) | {"known": {"rev": "x"}, "listen": "127.0.0.1:0"})
+    )
+    done = subprocess.run(
+        [sys.executable, "-m", "dockthread"],
+        cwd=ROOT,
+        env={**os.environ, "NODE_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert done.returncode != 0
+    assert "not a list of destinations" in done.stderr.splitlines()[-1]
