--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -15,7 +15,6 @@
 from dockthread.net.outbound import OutboundCall
 from tests.loopback import SETTINGS, Backend, Client, message, run, serves, serving, target, until
 
-
 LONG = 600_000  # a deadline in ms that no test lives to see, so that only the rule in question can act
 
 
