--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,10 @@
 	.venv/bin/mypy
 
 run: build
-	NODE_CONFIG=$(CONFIG) $(PYTHON) -m dockthread
+	exec env NODE_CONFIG=$(CONFIG) $(PYTHON) -m dockthread
 
 toy: build
-	$(PYTHON) example/toy_server.py
+	exec $(PYTHON) example/toy_server.py
 
 clean:
 	rm -rf .venv .pytest_cache .mypy_cache .ruff_cache
