Leave 5 ms of a request's time for the answer's way back

Cause: the module answers two ticks (8 ms) before the end it is told; the alarm may ring 5 ms late and the client counts from its own sending. Faulty line: deadline = clock.now() + ask.time_left.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -32,6 +32,7 @@
 GUARDED = 2 * HOUSEKEEPING  # time left from which a request's deadline has a timer of its own
 LINGER = 500.0  # after SIGTERM, in which the front still sends
 LAST_READS = 20.0  # for what has reached the last accepted connections to be read
+WAY_BACK = 5.0  # of a request's time: its way here, the answer's back, and the lateness of an alarm
 HELD_BYTES = 32 * 1024 * 1024  # of requests' bodies at most
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
@@ -303,10 +304,13 @@
         if len(self.requests) >= self.config.most_open or self._held + body > HELD_BYTES or self.draining:
             return Slot(resp.busy(self._advice))
         self._numbers += 1
-        request = Request(self._numbers, connection, ask, self.clock.now() + ask.time_left)
+        # The client counts from when it sent. The module answers two ticks before the end, and its timer may
+        # ring a tick late: without this some answers came after the client had given up.
+        left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0)
+        request = Request(self._numbers, connection, ask, self.clock.now() + left)
         self.requests[request.number] = request
         self._held += body
-        if ask.time_left <= GUARDED:
+        if left <= GUARDED:
             self._guard(request)
         self._tell(
             api.RequestArrived(
@@ -314,7 +318,7 @@
                 ask.request_class,
                 ask.plan,
                 ask.customer,
-                ask.time_left / 1000.0,
+                left / 1000.0,
                 ask.units,
                 ask.spread,
                 ask.first,
