Stop accepting where another connection would pass the budget of descriptors

Seen: on reading _accept again, its own sock_accept had no bound; only _empty_backlog had one. Faulty line: 'sock, _ = await self._loop.sock_accept(listener)' without a look at the count. Checked and ruled out: shedding idle connections there; the test showed that it closes the connection accepted last before its command is read. Past the surplus clients wait in the queue now.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -163,6 +163,9 @@
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
+            # Past the surplus even a refusal would cost a descriptor that is not there: clients queue.
+            while len(self._inbound) >= self._most_inbound + SURPLUS:
+                await asyncio.sleep(0.01)
             try:
                 sock, _ = await self._loop.sock_accept(listener)
                 self._opened(sock)
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -11,7 +11,7 @@
 from dockthread import api
 from dockthread.clock import Clock, ManualClock
 from dockthread.net import outbound, resp
-from dockthread.net.ingress import Ingress
+from dockthread.net.ingress import SURPLUS, Ingress
 from dockthread.net.outbound import OutboundCall
 from tests.loopback import SETTINGS, Backend, Client, message, run, serves, serving, target, until
 
@@ -284,6 +284,30 @@
     run(scenario())
 
 
+def test_accepting_stops_where_descriptors_would_run_out() -> None:
+    async def scenario() -> None:
+        async with serving(Backend(), limits={"sockets": 80}) as (ingress, client, _):
+            most = ingress._most_inbound + SURPLUS
+            clients = [client]
+
+            async def taken(many: int) -> None:
+                await until(lambda: sum(c._unfinished > 0 for c in ingress._inbound) == many)
+
+            for opened in range(1, most + 4):
+                clients[-1].writer.write(b"*1\r\n")  # in the middle of a command, so none is idle
+                await taken(min(opened, most))
+                clients.append(await Client.open(ingress.address.port))
+            clients[-1].writer.write(b"*1\r\n")
+            clients[-1].writer.write(b"$4\r\nPING\r\n")
+            await asyncio.sleep(0.05)
+            assert len(ingress._inbound) == most
+            for one in clients[:4]:
+                one.writer.close()
+            assert await clients[-1].answer() == b"PONG"  # it waited in the queue, not in vain
+
+    run(scenario())
+
+
 def test_a_connection_that_never_comes_up_ends_in_time_and_proves_nothing_ran() -> None:
     async def scenario() -> None:
         async with serving(Backend()) as (ingress, _, _):
