Say once what was said twice: sockets by address, body sizes, broken connections

Seen on reading the whole change again: the choice of the socket's family stood in ingress, outbound and destination_set (Address.new_socket now); a body's size was worked out on arrival and again on settling (Ask.body_bytes); two except branches of Outbound._run ended a call alike; drill had its own SECOND. Removed, since nothing used them: OutboundCall.may_have_run and resp.MOST_PARTS. Behaviour is meant to be as it was.

--- a/dockthread/drill.py
+++ b/dockthread/drill.py
@@ -9,7 +9,7 @@
 
 from dockthread import api
 from dockthread.rules import Gateway
-from dockthread.settings import SettingsError, read_settings
+from dockthread.settings import SECOND, SettingsError, read_settings
 
 HEADER = struct.Struct("<QII")
 REPLY = struct.Struct("<II")
@@ -32,7 +32,6 @@
 TELL = struct.Struct("<HIIII")
 WATCH = struct.Struct("<HIB")
 EVERYONE = 0xFFFFFFFF
-SECOND = 1_000_000
 
 STATES = {0: api.WorkerState.GONE, 1: api.WorkerState.READY, 2: api.WorkerState.DRAINING}
 KINDS = {0: api.ListKind.CHANGES, 1: api.ListKind.FAILED, 2: api.ListKind.FULL, 3: api.ListKind.CACHED}
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -179,8 +178,7 @@
 
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
-        family = socket.AF_INET6 if ":" in self._address.host else socket.AF_INET
-        with socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK) as sock:
+        with self._address.new_socket() as sock:
             await loop.sock_connect(sock, (self._address.host, self._address.port))
             path = f"/discovery/hosts?watch=1&after={self._destinations.revision}"
             head = f"GET {path} HTTP/1.1\r\nHost: {self._address}\r\nAccept: application/json\r\n\r\n"
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -148,8 +148,7 @@
 
     def _listen(self) -> socket.socket:
         address = self.config.listen
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        listener = address.new_socket()
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((address.host, address.port))
@@ -303,8 +302,8 @@
         self._tell(self.destinations.apply(message))
 
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
-        body = len(ask.args[4]) if len(ask.args) == 5 else 0
-        if len(self.requests) >= self.config.most_open or self._held + body > HELD_BYTES or self.draining:
+        held = self._held + ask.body_bytes
+        if len(self.requests) >= self.config.most_open or held > HELD_BYTES or self.draining:
             return Slot(resp.busy(self._advice))
         self._numbers += 1
         # The client counts from when it sent. The module answers two ticks before the end, and its timer may
@@ -312,7 +311,7 @@
         left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0)
         request = Request(self._numbers, connection, ask, self.clock.now() + left)
         self.requests[request.number] = request
-        self._held += body
+        self._held = held
         if left <= GUARDED:
             self._guard(request)
         self._tell(
@@ -407,4 +406,4 @@
         """Forget a request once it is finished and no call of it is out."""
         if request.finished and not request.out and request.number in self.requests:
             del self.requests[request.number]
-            self._held -= len(request.ask.args[4]) if len(request.ask.args) == 5 else 0
+            self._held -= request.ask.body_bytes
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -33,11 +33,6 @@
         self.outcome: Outcome | None = None
         self.connection: Connection | None = None
 
-    @property
-    def may_have_run(self) -> bool:
-        proof = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
-        return self.outcome not in proof if self.outcome else self.written
-
 
 class Connection:
     """One connection to a backend, and the task that carries its calls one after another.
@@ -50,8 +45,7 @@
 
     def __init__(self, destination: Destination, call: OutboundCall) -> None:
         self.destination, self.endpoint = destination, destination.endpoint
-        family = socket.AF_INET6 if ":" in self.endpoint.host else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock = self.endpoint.new_socket()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.call: OutboundCall | None = call
         self.up = False
@@ -184,14 +178,12 @@
             while call := connection.call:
                 if not await self._carry(connection, call, reader, buffer):
                     break
-        except OSError:
+        except Exception as error:
+            if not isinstance(error, OSError):
+                logger.exception("an outbound connection failed")
             # Broken before the last byte was written: the backend cannot have begun it. After: it may have.
             if call is not None:
                 self._end(call, Outcome.RESET if call.written else Outcome.UNREACHABLE)
-        except Exception:
-            logger.exception("an outbound connection failed")
-            if call is not None:
-                self._end(call, Outcome.RESET if call.written else Outcome.UNREACHABLE)
         finally:
             self._connections.discard(connection)
             connection.sock.close()
--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -15,7 +15,6 @@
 
 INCOMPLETE = object()  # what a reader gives while its next message is not whole
 MOST_UNFINISHED = 160 * 1024  # bytes of a message that is not whole: a 64 KiB value and all round it, twice
-MOST_PARTS = 16  # of a command; no client sends more than five
 
 PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
 NOT_READY = b"-LOADING not ready to serve\r\n"
@@ -59,6 +58,10 @@
     spread: int
     first: int
 
+    @property
+    def body_bytes(self) -> int:
+        return sum(map(len, self.args[4:]))
+
     def onward(self, time_left: float) -> bytes:
         """The command for a backend. Only `d` may differ from the client's wording: in any other form a
         backend answers -SYNTAX."""
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -44,6 +45,11 @@
             raise SettingsError(f"not an address, host:port: {text!r}")
         return cls(host, int(port))
 
+    def new_socket(self) -> socket.socket:
+        """A socket of this address's family, for the loop: it never blocks."""
+        family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
+        return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
