Reread the configuration on SIGHUP and move the watch to discovery's new address

Checked: `__main__.serve` registers SIGTERM and SIGINT only, so SIGHUP had its default, which kills. Changed: SIGHUP is ignored until there is an ingress, rereads the file in every phase, and is blocked once the loop, whose end restores the default, is about to go. `NODE_DISCOVERY` is as old as the process and no longer wins on a reload; a file that cannot be read leaves the old configuration and one line. `Watch.move` opens the new watch at once, after the last revision, without the pause after a failure.

--- a/dockthread/__main__.py
+++ b/dockthread/__main__.py
@@ -14,7 +14,7 @@
 from dockthread.clock import Clock
 from dockthread.net.destination_set import WatchError
 from dockthread.net.ingress import Ingress
-from dockthread.settings import Config, SettingsError, read_config
+from dockthread.settings import Config, SettingsError, read_config, reread_config
 
 LOG_LINE = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level} {message}"
 
@@ -24,13 +24,30 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ingress.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, ingress)
     gc.collect()
     gc.freeze()  # what stands now stands for good: no collection need look at it again
     gc.set_threshold(20_000)  # requests leave no cycles behind, so the rest need be looked at seldom
-    await ingress.run()
+    try:
+        await ingress.run()
+    finally:
+        # The loop's end gives signals their default back, and SIGHUP's is to kill.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
+def reload(ingress: Ingress) -> None:
+    """SIGHUP: read the configuration again. One that cannot be read changes nothing."""
+    try:
+        config = reread_config(os.environ)
+    except SettingsError as error:
+        logger.warning("the old configuration stays: {}", error)
+        return
+    ingress.reconfigure(config)
+    logger.info("configuration read again: discovery at {}, counter at {}", config.discovery, config.counter)
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is an ingress that can read it again
     try:
         config = read_config(os.environ)
         level = os.environ.get("DOCKTHREAD_LOG", "INFO").upper()
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -158,18 +159,31 @@
         self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
         self._heard = clock.now()
         self._attempt: asyncio.Task[None] | None = None
+        self._moved = asyncio.Event()
         self._failures = 0
 
+    def move(self, address: Address) -> None:
+        """Watch discovery at another address, and at once: the old one soon falls silent."""
+        if address != self._address:
+            self._address = address
+            self._moved.set()
+            if self._attempt is not None:
+                self._attempt.cancel()
+
     async def run(self) -> None:
         while True:
             self._heard = self._clock.now()
+            self._moved.clear()
             self._attempt = asyncio.create_task(self._watch())
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
+            if self._moved.is_set():
+                continue
             self._failures += 1
             # One line for each loss of discovery, not one for each try.
             log = logger.warning if self._failures == 1 else logger.debug
             log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
-            await asyncio.sleep(RETRY / 1000.0)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._moved.wait(), RETRY / 1000.0)
 
     def check(self) -> None:
         """End a watch that has gone silent: its machine may have vanished, which TCP does not tell."""
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -8,6 +8,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from heapq import heappop, heappush
 from math import ceil, inf
 from typing import Any
@@ -111,6 +112,11 @@
     def stop(self) -> None:
         self._stop.set()
 
+    def reconfigure(self, config: Config) -> None:
+        """Take over what may change under load: the addresses of discovery and of the counter."""
+        self.config = replace(self.config, discovery=config.discovery, counter=config.counter)
+        self.watch.move(config.discovery)
+
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
         listener = self._listen()
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -66,6 +66,7 @@
     known: dict[str, Any]
     module: api.Settings
     names: Names
+    counter: Address | None = None
     conn_idle: float = 15_000.0
     connect_timeout: float = 250.0
     most_open: int = 20_000
@@ -73,6 +74,16 @@
 
 def read_config(environ: Mapping[str, str]) -> Config:
     """The configuration at `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY` override its own."""
+    return _read(environ)
+
+
+def reread_config(environ: Mapping[str, str]) -> Config:
+    """The configuration after SIGHUP. The environment is as old as the process: only the file can say where
+    discovery lies now."""
+    return _read({name: value for name, value in environ.items() if name != "NODE_DISCOVERY"})
+
+
+def _read(environ: Mapping[str, str]) -> Config:
     path = environ.get("NODE_CONFIG")
     if not path:
         raise SettingsError("NODE_CONFIG is not set: it names the configuration file")
@@ -114,6 +125,7 @@
             zones=tuple(settings.get("Azs", ())),
             kinds=tuple(settings.get("Models", ())),
         ),
+        counter=Address.parse(raw["counter"]) if raw.get("counter") else None,
         conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
         connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
         most_open=limits.get("MaxOpen", 20_000),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import re
@@ -16,7 +17,18 @@
 
 from dockthread.clock import ManualClock
 from dockthread.net.lifecycle import Lifecycle, Phase
-from tests.loopback import Backend, Client, run, serves, serving, until
+from tests.loopback import (
+    Backend,
+    Client,
+    Discovery,
+    message,
+    raw_config,
+    run,
+    serves,
+    serving,
+    target,
+    until,
+)
 
 ROOT = Path(__file__).parent.parent
 CONFIG = ROOT / "example" / "config.json"
@@ -102,6 +114,35 @@
     assert phases == ["serving", "lingering", "draining", "stopped"]
 
 
+def test_sighup_moves_the_watch_in_any_phase_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        old, new, path = Discovery(), Discovery(), tmp_path / "config.json"
+        known, at_old = message(7, target("a", 1), full=True), f"127.0.0.1:{await old.start()}"
+        told = raw_config(known, await new.start())
+        path.write_text(json.dumps(told))
+        environ = {"NODE_CONFIG": str(path), "NODE_DISCOVERY": at_old}
+        with program("-m", "dockthread", says="listens on", **environ) as (process, address):
+            await until(lambda: old.paths)
+            assert process.stdout is not None and not new.paths
+            path.write_text("{")
+            process.send_signal(signal.SIGHUP)
+            while "old configuration stays" not in await asyncio.to_thread(process.stdout.readline):
+                assert process.poll() is None
+            path.write_text(json.dumps(told))
+            process.send_signal(signal.SIGHUP)
+            # The environment still names the old address, and may not win.
+            await until(lambda: new.paths)
+            assert (new.paths, len(old.paths)) == ([b"/discovery/hosts?watch=1&after=7"], 1)
+            await ready(address)
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.02)
+            assert process.returncode == 0
+
+    run(scenario())
+
+
 def test_while_lingering_it_takes_new_connections_and_then_closes_idle_ones() -> None:
     async def scenario() -> None:
         backend, clock = Backend(serves), ManualClock()
