Check RESP headers on both sides before parsing; end silent, half and spoilt connections

Checked with a probe that logged what bad parties send: `*1\r\n` without end, `*`, 60 MB bodies, lines without end, half commands, hundreds that say nothing or PING once and stay, `units=nan`, `units=-400`, `first=70000`, ids that are open; from backends `*`, `:5`, noise, lines and values without end. At fault: `Inbound._take` fed everything and shed by `_unfinished`, so half a command could never go, and nothing ever ended silence; `Vocabulary.ask` read with int() and float(); `ReplyReader.reply` took any array that starts with a string; `Outbound._carry` reused the connection after a reply of unknown form; budgets were constants whatever the configuration says. Changed: `resp.Bounds` reads headers ahead of hiredis on both sides; requests are read strictly and an open id is turned away; commands are taken 8 a turn, bad ones end a connection after 16; silence and half commands end after 1.5 s; those that never asked are closed first where descriptors run short; budgets follow the configuration's descriptors and memory. A spoilt answer is an error that may have run.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -13,8 +13,15 @@
 from dockthread.net import resp
 
 BUFFER = 8 * 1024
-MOST_UNSENT = 4 * 1024 * 1024  # bytes of answers that a client has not read
+MOST_UNSENT = 1024 * 1024  # bytes of answers that a client has not read
 LINGER = 1_000.0  # for a client to read the last answer before its connection is closed
+MOST_IGNORED = 64 * 1024  # bytes read meanwhile; one that sends more is cut off
+TURN = 8  # commands of one connection that are taken before the others have theirs
+MOST_WAITING = 128  # commands of one connection without an answer
+MOST_BAD = 16  # commands of one connection that cannot be served
+TOO_MUCH = 0.05  # s between reads of a client that sends on and on behind its last command
+UNREAD = 5_000.0  # for a client to read an answer
+SILENCE = 1_500.0  # for a new connection to say something, and for a command that has begun to be whole
 
 
 class Slot:
@@ -36,6 +43,7 @@
     def ready(self) -> bool: ...
     @property
     def draining(self) -> bool: ...
+    def is_open(self, wire_id: bytes) -> bool: ...
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot: ...
     def client_gone(self, slot: Slot) -> None: ...
     def closed(self, connection: Inbound) -> None: ...
@@ -51,23 +59,53 @@
         self._unsent: list[bytes] = []
         self._unsent_bytes = 0
         self._writer: asyncio.Task[None] | None = None
-        self._reader = resp.reader()
-        self._unfinished = 0  # bytes since the last whole message
+        self._writing = 0.0  # since when
+        self._reader, self._bounds = resp.reader(), resp.command_bounds()
+        self._bad = 0  # commands that could not be served
+        self._ignored = 0  # bytes read after the last command
         self._last = False  # no command after those pending is answered
         self._closed = False
         self.surplus = surplus  # over the budget of descriptors: told to come again, and closed
-        self.used = host.clock.now()
+        self.spoke = False  # it has sent a whole command
+        self.used = self.begun = host.clock.now()  # last read; the start of a command that is not whole
         self.close_by: float | None = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._task = self._loop.create_task(self._run())
 
     @property
     def idle(self) -> bool:
-        return not (self._pending or self._unsent or self._writer or self._unfinished)
+        """Nothing is owed to it. Half a command is no claim: else clients that never end one could hold all
+        descriptors."""
+        return not (self._pending or self._unsent or self._writer)
+
+    @property
+    def half(self) -> bool:
+        return not self._bounds.between and not self._last
+
+    def has_input(self) -> bool:
+        """Whether something has come that is not read yet."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def check(self, now: float) -> None:
+        """End what does not come to an end by itself."""
+        if self.close_by is not None:
+            if self.close_by < now:
+                self.close()
+        elif self._writer is not None and now - self._writing > UNREAD:
+            self.close()
+        elif now - self.begun > SILENCE * (1 + ((self.half or not self.spoke) and self.has_input())):
+            if self.half:
+                self._say_last(resp.TOO_SLOW)
+                self.flush()
+            elif not self.spoke and self.idle:
+                self.close()
 
     def close_if_done(self) -> None:
         """Between requests an ingress may close a connection; with an answer owed it may not."""
-        if not (self._pending or self._unsent or self._writer):
+        if self.idle:
             self.close()
 
     def close(self) -> None:
@@ -97,7 +135,7 @@
             self._unsent.append(answer)
             self._unsent_bytes += len(answer)
         if self._unsent_bytes > MOST_UNSENT:
-            logger.warning("a client does not read its answers: connection closed")
+            logger.debug("a client does not read its answers: connection closed")
             self.close()
             return False
         return bool(self._unsent)
@@ -107,6 +145,7 @@
             while self._unsent:
                 data = b"".join(self._unsent)
                 self._unsent.clear()
+                self._writing = self._host.clock.now()
                 await self._loop.sock_sendall(self.sock, data)
                 self._unsent_bytes -= len(data)
         except OSError:
@@ -130,68 +169,90 @@
         buffer = bytearray(BUFFER)
         try:
             while size := await self._loop.sock_recv_into(self.sock, buffer):
-                if not self._last:
-                    self._take(bytes(buffer[:size]))
+                if self._last:
+                    self._ignored += size
+                    if self._ignored > MOST_IGNORED:
+                        if self.idle:
+                            break
+                        await asyncio.sleep(TOO_MUCH)  # an answer is owed: no close, but no work either
+                    continue
+                more = self._feed(bytes(buffer[:size]))
+                while True:
+                    more = more and self._take()
                     # What was refused at once is sent from here, with no task of its own.
                     if self._collect() and self._writer is None:
                         self._writer = self._task
                         await self._write()
+                    if not more:
+                        break
+                    await asyncio.sleep(0)
         except OSError:
             pass
         except Exception:
             logger.exception("an inbound connection failed")
         self.close()
 
-    def _take(self, data: bytes) -> None:
-        self.used = self._host.clock.now()
-        self._unfinished += len(data)
-        reader = self._reader
-        reader.feed(data)
+    def _feed(self, data: bytes) -> bool:
+        bounds, self.used = self._bounds, self._host.clock.now()
+        if bounds.between:
+            self.begun = self.used
+        self._reader.feed(data[: bounds.sound(data)])
+        return True
+
+    def _take(self) -> bool:
+        """Take a turn's commands from what was read; False once none is left."""
         try:
-            while (message := reader.gets()) is not resp.INCOMPLETE:
-                self._unfinished = len(data) if reader.has_data() else 0
-                self._command(message)
+            for _ in range(TURN):
                 if self._last:
-                    break
-            else:
-                if self._unfinished > resp.MOST_UNFINISHED:
-                    self._say_last(resp.TOO_LONG)
+                    return False
+                if (message := self._reader.gets()) is resp.INCOMPLETE:
+                    if self._bounds.broken:
+                        self._say_last(resp.BAD_FRAMING)
+                    return False
+                self.spoke, self.begun = True, self.used
+                self._command(message)
+                if self._bad >= MOST_BAD or len(self._pending) > MOST_WAITING:
+                    self._say_last(resp.TOO_MANY)
         except resp.ProtocolError:
             self._say_last(resp.BAD_FRAMING)
+        return not self._last
 
     def _say_last(self, answer: bytes) -> None:
         self._last = True
         self._pending.append(Slot(answer))
 
+    def _refuse(self, answer: bytes) -> Slot:
+        self._bad += 1
+        return Slot(answer)
+
     def _command(self, message: object) -> None:
-        if isinstance(message, list) and all(type(part) is bytes for part in message):
-            if not message:
-                return  # an empty array asks nothing
-            verb = message[0].upper()
-            if verb in (b"API.READ", b"API.WRITE"):
-                self._pending.append(self._request(message))
-            elif verb == b"QUIT":
-                self._say_last(resp.OK)
-            else:
-                self._pending.append(Slot(self._plain(verb, message)))
+        if not isinstance(message, list) or not all(type(part) is bytes for part in message):
+            raise resp.ProtocolError("a command is an array of bulk strings")
+        verb = message[0].upper()
+        if verb in (b"API.READ", b"API.WRITE"):
+            self._pending.append(self._request(message))
+        elif verb == b"QUIT":
+            self._say_last(resp.OK)
         else:
-            self._pending.append(Slot(resp.error("a command is an array of bulk strings")))
+            self._pending.append(self._plain(verb, message))
 
     def _request(self, args: list[bytes]) -> Slot:
         try:
             ask = self._host.vocabulary.ask(args)
         except resp.BadCommand as error:
-            return Slot(resp.error(str(error)))
+            return self._refuse(resp.error(str(error)))
         if self.surplus:
             self._last = True
             return Slot(resp.BUSY)
+        if self._host.is_open(ask.wire_id):
+            return self._refuse(resp.error("this id is open already"))
         return self._host.arrived(self, ask)
 
-    def _plain(self, verb: bytes, args: list[bytes]) -> bytes:
+    def _plain(self, verb: bytes, args: list[bytes]) -> Slot:
         if verb == b"PING":
             if not self._host.ready:
-                return resp.NOT_READY
-            return resp.PONG if len(args) == 1 else resp.served(args[1])
+                return Slot(resp.NOT_READY)
+            return Slot(resp.PONG if len(args) == 1 else resp.served(args[1]))
         if verb in (b"CLIENT", b"SELECT"):
-            return resp.OK
-        return resp.error("unknown command")
+            return Slot(resp.OK)
+        return self._refuse(resp.error("unknown command"))
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -27,14 +27,18 @@
 
 BACKLOG = 1024
 RESERVE = 24  # descriptors for all but connections: standard streams, the loop's own, listener, watch
-SURPLUS = 32  # inbound connections over their budget that are accepted only to be told to come again
-INBOUND_PART = 0.6  # of the descriptors left
+SURPLUS = 32  # inbound connections over their budget that are accepted only to be told to come again, at most
+SURPLUS_PART = 1 / 16  # of the descriptors
+CLIENTS_PART = 1 / 3  # of the descriptors that clients hold for requests at most
+OTHERS_PART = 1 / 4  # of what is left then, for clients that hold a connection and ask nothing
+ACCEPTED = 16  # connections in a row, before those that stand have their turn
+IDLE = 2_000.0  # from which an inbound connection may be closed where they are many
 HOUSEKEEPING = 250.0  # between rounds of it
 GUARDED = 2 * HOUSEKEEPING  # time left from which a request's deadline has a timer of its own
 LINGER = 500.0  # after SIGTERM, in which the front still sends
 LAST_READS = 20.0  # for what has reached the last accepted connections to be read
 WAY_BACK = 5.0  # of a request's time: its way here, the answer's back, and the lateness of an alarm
-HELD_BYTES = 32 * 1024 * 1024  # of requests' bodies at most
+HELD_PART = 1 / 8  # of the memory, for requests' bodies
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -59,7 +63,8 @@
     def __init__(self, config: Config, clock: Clock) -> None:
         self.config, self.clock, self.lifecycle = config, clock, Lifecycle()
         self._loop = asyncio.get_running_loop()
-        self.vocabulary = resp.Vocabulary(config.names, config.module.classes)
+        module = config.module
+        self.vocabulary = resp.Vocabulary(config.names, module.classes, module.gateways, config.most_units)
         self.gateway = Gateway(config.module, config.seed, clock.now() / 1000.0)
         self._tick = max(1.0, config.module.tick * 1000.0)
         self._advice = config.module.most_advice * 1000.0
@@ -67,7 +72,9 @@
         self._telling = False
         self.requests: dict[int, Request] = {}
         self._numbers = 0
+        self._open_ids: set[bytes] = set()
         self._held = 0
+        self._most_held = int(config.memory_mb * HELD_PART * 1024 * 1024)
         self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._timer_count = 0
         self._armed, self._alarm = inf, None  # type: float, asyncio.TimerHandle | None
@@ -75,8 +82,11 @@
         self._stop = asyncio.Event()
         self._emptied = asyncio.Event()
         self._inbound: set[Inbound] = set()
-        room = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVE - SURPLUS
-        self._most_inbound = int(room * INBOUND_PART)
+        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self._surplus = min(SURPLUS, int(sockets * SURPLUS_PART))
+        room = sockets - RESERVE - self._surplus
+        clients = int(sockets * CLIENTS_PART)
+        self._most_inbound = clients + int((room - clients) * OTHERS_PART)
         self.destinations = DestinationSet(config.names, clock)
         self.outbound = Outbound(
             self.destinations,
@@ -169,12 +179,13 @@
     async def _accept(self, listener: socket.socket) -> None:
         while True:
             # Past the surplus even a refusal would cost a descriptor that is not there: clients queue.
-            while len(self._inbound) >= self._most_inbound + SURPLUS:
+            while len(self._inbound) >= self._most_inbound + self._surplus and not self._shed_inbound(True):
                 await asyncio.sleep(0.01)
             try:
                 sock, _ = await self._loop.sock_accept(listener)
                 self._opened(sock)
-                self._empty_backlog(listener)
+                self._empty_backlog(listener, ACCEPTED)
+                await asyncio.sleep(0)
             except OSError as error:
                 # Out of descriptors the backlog keeps its clients until there is room again.
                 if error.errno in NO_ROOM and (self.outbound.shed() or self._shed_inbound()):
@@ -182,8 +193,10 @@
                 logger.warning("cannot accept: {}", error)
                 await asyncio.sleep(0.05)
 
-    def _empty_backlog(self, listener: socket.socket) -> None:
-        while len(self._inbound) < self._most_inbound + SURPLUS:
+    def _empty_backlog(self, listener: socket.socket, most: int = BACKLOG) -> None:
+        for _ in range(most):
+            if len(self._inbound) >= self._most_inbound + self._surplus:
+                return
             try:
                 sock, _ = listener.accept()
             except (BlockingIOError, ConnectionAbortedError):
@@ -198,13 +211,21 @@
         except OSError:  # gone before it was looked at
             sock.close()
 
-    def _shed_inbound(self) -> bool:
-        """Close the inbound connection that has been idle longest; False where none is."""
-        idle = [connection for connection in self._inbound if connection.idle]
+    def _shed_inbound(self, surplus: bool = False) -> bool:
+        """Close the inbound connection that is missed least: one that never asked anything before one that
+        did, then the one idle for longest. False where each is owed an answer, as all of the surplus are."""
+        idle = [c for c in self._inbound if c.idle and (surplus or not c.surplus)]
         if idle:
-            min(idle, key=lambda connection: connection.used).close()
+            min(idle, key=lambda connection: (connection.spoke, connection.used)).close()
         return bool(idle)
 
+    def _close_idle(self, now: float) -> None:
+        """Where they are many, those that have been idle long make room before the budget is full."""
+        if len(self._inbound) > self._most_inbound // 2:
+            for connection in list(self._inbound):
+                if connection.idle and now - connection.used > IDLE:
+                    connection.close()
+
     def _close_all(self) -> None:
         for connection in list(self._inbound):
             connection.close()
@@ -223,8 +244,9 @@
         for request in self.requests.values():
             if request.deadline <= now + GUARDED and not request.guarded:
                 self._guard(request)
-        for connection in [c for c in self._inbound if c.close_by is not None and c.close_by < now]:
-            connection.close()
+        for connection in list(self._inbound):
+            connection.check(now)
+        self._close_idle(now)
 
     # Timers: one heap, one alarm of the loop
 
@@ -309,7 +331,7 @@
 
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
         held = self._held + ask.body_bytes
-        if len(self.requests) >= self.config.most_open or held > HELD_BYTES or self.draining:
+        if len(self.requests) >= self.config.most_open or held > self._most_held or self.draining:
             return Slot(resp.busy(self._advice))
         self._numbers += 1
         # The client counts from when it sent. The module answers two ticks before the end, and its timer may
@@ -317,6 +339,7 @@
         left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0)
         request = Request(self._numbers, connection, ask, self.clock.now() + left)
         self.requests[request.number] = request
+        self._open_ids.add(ask.wire_id)
         self._held = held
         if left <= GUARDED:
             self._guard(request)
@@ -338,8 +361,15 @@
         if isinstance(slot, Request) and not slot.finished:
             slot.gone = True
             self._tell(api.ClientGone(slot.number))
+            self._close_id(slot)
             self._settle(slot)
 
+    def is_open(self, wire_id: bytes) -> bool:
+        return wire_id in self._open_ids
+
+    def _close_id(self, request: Request) -> None:
+        self._open_ids.discard(request.ask.wire_id)
+
     def _call_ended(self, call: OutboundCall, reply: resp.Reply) -> None:
         request = self.requests[call.request]
         request.out -= 1
@@ -405,6 +435,7 @@
 
     def _answer(self, request: Request, answer: bytes) -> None:
         request.answer = answer
+        self._close_id(request)
         request.connection.flush()
         self._settle(request)
 
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -7,7 +7,6 @@
 from collections import deque
 from collections.abc import Callable
 
-import hiredis
 from loguru import logger
 
 from dockthread.api import Outcome
@@ -16,6 +15,7 @@
 from dockthread.net.destination_set import Destination, DestinationSet
 
 BUFFER = 16 * 1024
+WHOLE = 500.0  # for the rest of an answer that has begun: backends write one at once
 IDLE_PART = 0.5  # of `ConnIdle`, which is the latest at which a backend closes an idle connection
 
 
@@ -174,9 +174,9 @@
             endpoint = connection.endpoint
             await self._loop.sock_connect(connection.sock, (endpoint.host, endpoint.port))
             connection.up = True
-            reader, buffer = resp.reader(), bytearray(BUFFER)
+            buffer = bytearray(BUFFER)
             while call := connection.call:
-                if not await self._carry(connection, call, reader, buffer):
+                if not await self._carry(connection, call, buffer):
                     break
         except Exception as error:
             if not isinstance(error, OSError):
@@ -188,9 +188,7 @@
             self._connections.discard(connection)
             connection.sock.close()
 
-    async def _carry(
-        self, connection: Connection, call: OutboundCall, reader: hiredis.Reader, buffer: bytearray
-    ) -> bool:
+    async def _carry(self, connection: Connection, call: OutboundCall, buffer: bytearray) -> bool:
         """One call, and the wait for the next; False where the connection is of no more use."""
         left = call.due - self._clock.now()
         # Just before the first byte: a drain may have been told while the connection came up.
@@ -199,22 +197,8 @@
             return False
         await self._loop.sock_sendall(connection.sock, call.ask.onward(left))
         call.written = True
-        seen = 0
-        while (message := reader.gets()) is resp.INCOMPLETE:
-            size = await self._loop.sock_recv_into(connection.sock, buffer)
-            seen += size
-            if not size:
-                self._end(call, Outcome.RESET)
-                return False
-            if seen > resp.MOST_UNFINISHED:
-                logger.warning("{} answers without an end", connection.endpoint)
-                self._end(call, Outcome.ERROR)
-                return False
-            reader.feed(bytes(buffer[:size]))
-        reply = self._replies.reply(message)
-        # An answer to nothing: whose would the next one be? `len()` would not tell: it also counts bytes that
-        # are read already, and so had nearly every connection closed after one call.
-        if reader.has_data():
+        reply, last = await self._answer(connection, call, buffer)
+        if last:
             self._tell(call, reply)
             return False
         connection.call, connection.idle_since = None, self._clock.now()
@@ -226,3 +210,37 @@
             return True
         self._tell(call, reply)
         return False
+
+    async def _answer(
+        self, connection: Connection, call: OutboundCall, buffer: bytearray
+    ) -> tuple[resp.Reply, bool]:
+        """What a backend says of a call, and whether the connection is of no more use after it.
+
+        A spoilt answer is an error, never a refusal: the request has run. What came behind a good one answers
+        nothing, and whose would the next answer on that connection be?
+        """
+        reader, bounds = resp.reader(), resp.reply_bounds()
+        begun = False
+        while True:
+            size = await self._loop.sock_recv_into(connection.sock, buffer)
+            if not size:
+                return resp.Reply(Outcome.RESET), True
+            data = bytes(buffer[:size])
+            reader.feed(data[: bounds.sound(data)])
+            try:
+                message = reader.gets()
+            except (resp.ProtocolError, UnicodeDecodeError):
+                return resp.Reply(Outcome.ERROR), True
+            if message is not resp.INCOMPLETE:
+                reply = self._replies.reply(message)
+                return reply, not reply.known or bounds.broken or not bounds.between or reader.has_data()
+            if bounds.broken:
+                logger.debug("{} says what cannot be read", connection.endpoint)
+                return resp.Reply(Outcome.ERROR), True
+            if not begun:
+                begun = True
+                self._at(self._clock.now() + WHOLE, self._half_answered, connection, call)
+
+    def _half_answered(self, connection: Connection, call: OutboundCall) -> None:
+        if connection.call is call and call.connection is connection:
+            self.give_up(call, Outcome.ERROR)
--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -5,7 +5,9 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 import hiredis
@@ -14,13 +16,20 @@
 from dockthread.settings import Names
 
 INCOMPLETE = object()  # what a reader gives while its next message is not whole
-MOST_UNFINISHED = 160 * 1024  # bytes of a message that is not whole: a 64 KiB value and all round it, twice
+MOST_VALUE = 64 * 1024  # bytes of a value, by the protocol
+MOST_PARTS = 16  # of a command
+MOST_HEADER = 12  # bytes of a header: a sign, a length and the end of the line
+MOST_LINE = 512  # bytes of an error line
+LARGEST_KEY = 1 << 33
+MOST_FIGURE = 1e6  # of a load report, or of use in percent
+MOST_TIME = 1e7  # ms that a client can mean to wait
 
 PONG, OK, BUSY = b"+PONG\r\n", b"+OK\r\n", b"-BUSY\r\n"
 NOT_READY = b"-LOADING not ready to serve\r\n"
 FAILED = b"-ERR failed\r\n"
 BAD_FRAMING = b"-ERR Protocol error\r\n"
-TOO_LONG = b"-ERR Protocol error: message too long\r\n"
+TOO_SLOW = b"-ERR Protocol error: half a command\r\n"
+TOO_MANY = b"-ERR too many commands at once\r\n"
 
 # A load report names its fields as the site does, the settings as the simulator's wire does.
 LOAD_WORDS = {
@@ -33,12 +42,89 @@
 }
 
 ProtocolError = hiredis.ProtocolError
+HEX = re.compile(rb"[0-9a-fA-F]{16}")
+WHOLE = re.compile(rb"[0-9]{1,9}")
+TIME = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+ERROR_LINE = re.compile(rb"-[ -~]+\r\n")
 
 
 def reader() -> hiredis.Reader:
     return hiredis.Reader(notEnoughData=INCOMPLETE)
 
 
+class Bounds:
+    """Reads the headers of what is about to be fed to a reader, and lets none through that would have it
+    allocate for a length that nobody means, or wait for an end that never comes."""
+
+    __slots__ = ("_errors", "_least", "_left", "_line", "_parts", "_value", "broken")
+
+    def __init__(self, parts: range, null: bool = False, errors: bool = False) -> None:
+        self._parts, self._errors = parts, errors
+        self._least = -1 if null else 0  # length of a part
+        self._left = 0  # parts of the present array that are still to come
+        self._value = -1  # bytes of the present part that are; -1 between parts
+        self._line = b""
+        self.broken = False
+
+    @property
+    def between(self) -> bool:
+        """Whether the last message is whole and none has begun."""
+        return not (self._left or self._line or self._value >= 0)
+
+    def sound(self, data: bytes) -> int:
+        """How many of these bytes may be fed; fewer than all, and nothing more ever, once it is `broken`."""
+        at, end = 0, len(data)
+        while at < end:
+            if self._value > 0:
+                step = min(self._value, end - at)
+                self._value -= step
+                at += step
+                continue
+            stop = data.find(b"\n", at) + 1
+            line = self._line + data[at : stop or end]
+            if not self._may_be(line, bool(stop)):
+                self.broken = True
+                return at
+            self._line = b"" if stop else line
+            at = stop or end
+        return end
+
+    def _may_be(self, line: bytes, whole: bool) -> bool:
+        """Take a header, the end of a value or an error line; a part of one only if it can become one."""
+        sign = line[:1]
+        if self._value == 0:
+            if whole:
+                self._value = -1
+                self._left -= 1
+            return line == b"\r\n" if whole else line == b"\r"
+        if not self._left and sign == b"-" and self._errors:
+            return len(line) <= MOST_LINE and (not whole or ERROR_LINE.fullmatch(line) is not None)
+        if sign != (b"$" if self._left else b"*") or len(line) > MOST_HEADER:
+            return False
+        if not whole:
+            return True
+        digits, tail = line[1:-2], line[-2:]
+        if tail != b"\r\n" or not (digits.isdigit() or digits == b"-1"):
+            return False
+        size = int(digits)
+        if not self._left:
+            self._left = size
+            return size in self._parts
+        if size < 0:
+            self._left -= 1
+        else:
+            self._value = size
+        return self._least <= size <= MOST_VALUE
+
+
+def command_bounds() -> Bounds:
+    return Bounds(range(1, MOST_PARTS + 1))
+
+
+def reply_bounds() -> Bounds:
+    return Bounds(range(3, 4), null=True, errors=True)
+
+
 class BadCommand(Exception):
     """A command that is whole but says nothing that can be served; the text is for the client."""
 
@@ -58,6 +144,10 @@
     spread: int
     first: int
 
+    @property
+    def wire_id(self) -> bytes:
+        return self.args[2]
+
     @property
     def body_bytes(self) -> int:
         return sum(map(len, self.args[4:]))
@@ -79,36 +169,54 @@
 class Vocabulary:
     """Reads requests by the names that the settings give to classes and plans."""
 
-    def __init__(self, names: Names, classes: tuple[api.RequestClass, ...]) -> None:
+    def __init__(
+        self, names: Names, classes: tuple[api.RequestClass, ...], gateways: int, most_units: int
+    ) -> None:
         self._classes = {name.encode(): number for number, name in enumerate(names.classes)}
         self._plans = {name.encode(): number for number, name in enumerate(names.plans)}
         safe = [c.effect is api.Effect.SAFE for c in classes]
         self._verbs = [b"API.READ" if s else b"API.WRITE" for s in safe]
+        self._gateways, self._most_units = gateways, most_units
 
     def ask(self, args: list[bytes]) -> Ask:
         if len(args) not in (4, 5):
             raise BadCommand("wrong number of arguments")
-        text = args[3]
+        if not HEX.fullmatch(args[1]) or not HEX.fullmatch(args[2]):
+            raise BadCommand("a customer or an id is not 16 hex digits")
+        customer, text = int(args[1], 16), args[3]
+        pairs = text.split(b",")
         try:
-            terms = dict(term.split(b"=", 1) for term in text.split(b","))
-            customer = int(args[1], 16)
-            number, plan = self._classes[terms[b"c"]], self._plans[terms[b"t"]]
-            left, units = float(terms[b"d"]), float(terms.get(b"units", 1))
-            spread, first = int(terms.get(b"spread", 1)), int(terms.get(b"first", 0))
+            terms = dict(pair.split(b"=", 1) for pair in pairs)
+            number, plan, time = self._classes[terms[b"c"]], self._plans[terms[b"t"]], terms[b"d"]
         except KeyError as error:
             raise BadCommand("a term is missing, or names an unknown class or plan") from error
         except ValueError as error:
             raise BadCommand("a term cannot be read") from error
+        if len(terms) < len(pairs):
+            raise BadCommand("a term stands twice")
         if args[0].upper() != self._verbs[number]:
             raise BadCommand("this class goes by the other command")
-        # The comparisons also turn away nan, which would outlive every deadline.
-        if not (0 < left < 1e9 and 0 < units < 1e6 and spread > 0 and first >= 0 and 0 <= customer < 1 << 64):
+        units, spread = self._whole(terms, b"units", b"1"), self._whole(terms, b"spread", b"1")
+        first, left = self._whole(terms, b"first", b"0"), float(time) if TIME.fullmatch(time) else 0.0
+        if not (
+            0 < left <= MOST_TIME
+            and 1 <= units <= self._most_units
+            and 1 <= spread <= self._gateways
+            and first < self._gateways
+            and customer < LARGEST_KEY
+        ):
             raise BadCommand("a figure is out of range")
         at = 2 if text.startswith(b"d=") else text.index(b",d=") + 3
         end = text.find(b",", at)
         rest = text[end:] if end >= 0 else b""
         return Ask(args, text[:at], rest, number, plan, customer, left, units, spread, first)
 
+    @staticmethod
+    def _whole(terms: dict[bytes, bytes], name: bytes, default: bytes) -> int:
+        if not WHOLE.fullmatch(text := terms.get(name, default)):
+            raise BadCommand("a figure is not a whole number")
+        return int(text)
+
 
 def busy(retry_after: float) -> bytes:
     """A fail-fast: `retry_after` in milliseconds, 0 for no advice."""
@@ -132,6 +240,7 @@
     used: float | None = None
     cost: float = 0.0
     load: tuple[float, ...] = ()
+    known: bool = True  # its form is the protocol's, so the connection may carry another call
 
 
 class ReplyReader:
@@ -142,26 +251,32 @@
         self._wire = [name.encode() for name in load_names]
 
     def reply(self, message: Any) -> Reply:
-        if isinstance(message, list) and message and isinstance(message[0], bytes):
-            reply = Reply(api.Outcome.OK, message[0])
-            for part in message[1:]:
-                if isinstance(part, bytes):
-                    self._note(reply, part)
-            return reply
+        if isinstance(message, list) and len(message) == 3 and type(message[0]) is bytes:
+            value, use, load = message
+            if len(value) <= MOST_VALUE and all(n is None or type(n) is bytes for n in (use, load)):
+                reply = Reply(api.Outcome.OK, value)
+                for note in (use, load):
+                    if note:
+                        self._note(reply, note)
+                return reply
         if isinstance(message, hiredis.ReplyError):
             kind, *notes = str(message).split(" ")
             reply = Reply(api.Outcome.FULL if kind == "BUSY" else api.Outcome.ERROR)
+            reply.known = kind == "BUSY" or (kind == "ERR" and notes[:1] == ["failed"])
             for note in notes:
                 self._note(reply, note.encode())
             return reply
-        return Reply(api.Outcome.ERROR)  # nothing that a backend says of a request it served
+        return Reply(api.Outcome.ERROR, known=False)  # nothing that a backend says of a request it served
 
     def _note(self, reply: Reply, text: bytes) -> None:
-        """Figures on use, or a load report; what cannot be read is passed over."""
+        """Figures on use, or a load report. What cannot be read, or cannot be true, is passed over: one nan
+        would stay in every smoothed figure for good."""
         try:
             fields = {name: float(figure) for name, figure in (f.split(b"=", 1) for f in text.split(b","))}
         except ValueError:
             return
+        if not all(isfinite(figure) and 0 <= figure < MOST_FIGURE for figure in fields.values()):
+            return
         if b"used" in fields:
             reply.used = fields[b"used"] / 100.0
         reply.cost = fields.get(b"cost", reply.cost)
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -66,6 +66,8 @@
     known: dict[str, Any]
     module: api.Settings
     names: Names
+    memory_mb: float = 192.0
+    most_units: int = 1_000_000
     counter: Address | None = None
     conn_idle: float = 15_000.0
     connect_timeout: float = 250.0
@@ -125,6 +127,8 @@
             zones=tuple(settings.get("Azs", ())),
             kinds=tuple(settings.get("Models", ())),
         ),
+        memory_mb=float(raw.get("limits", {}).get("memory_mb", 192.0)),
+        most_units=int(settings.get("Domain", {}).get("Largest", 1_000_000)),
         counter=Address.parse(raw["counter"]) if raw.get("counter") else None,
         conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
         connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
