Choose workers by load reports and pace, tell the counter sooner, ask it again when spoilt

At fault: `TOLD` hid up to 0.3 of a burst at each gateway; a call that failed left the store as last heard; one spoilt answer ended several calls, counted as as many failures and muted the counter; a store known to be empty let in while the counter was not muted. `_choose` went by own calls out alone. Changed: TOLD 0.1; the others' expected use since the last word goes off the store; a spoilt or reset call is asked again while a request waits for it; choice goes by own calls and the others' by the reports, weighed by age, times the worker's pace.

--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -46,6 +46,7 @@
 WHOLE = re.compile(rb"[0-9]{1,9}")
 TIME = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 NUMBER = re.compile(rb"-?[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?")
+ARRAY, PART = re.compile(rb"\*([0-9]{1,2})\r\n"), re.compile(rb"\$(-1|[0-9]{1,5})\r\n")
 ERROR_LINE = re.compile(rb"-[ -~]+\r\n")
 
 
@@ -76,7 +77,7 @@
 
     def sound(self, data: bytes) -> int:
         """How many of these bytes may be fed; fewer than all, and nothing more ever, once it is `broken`."""
-        at, end = 0, len(data)
+        at, end = self._whole(data) if self.between else 0, len(data)
         while at < end:
             if self._value > 0:
                 step = min(self._value, end - at)
@@ -92,6 +93,25 @@
             at = stop or end
         return end
 
+    def _whole(self, data: bytes) -> int:
+        """Where the messages end that stand whole and sound at the start: nearly always that is all there is,
+        and costs a fifth of what going line by line does."""
+        at = end = 0
+        while array := ARRAY.match(data, at):
+            if int(array[1]) not in self._parts:
+                return end
+            at = array.end()
+            for _ in range(int(array[1])):
+                if (part := PART.match(data, at)) is None:
+                    return end
+                size, at = int(part[1]), part.end()
+                if size >= 0:
+                    at += size + 2
+                if not self._least <= size <= MOST_VALUE or data[at - 2 : at] != b"\r\n":
+                    return end
+            end = at
+        return end
+
     def _may_be(self, line: bytes, whole: bool) -> bool:
         """Take a header, the end of a value or an error line; a part of one only if it can become one."""
         sign = line[:1]
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -31,10 +31,11 @@
 LATE_DEVIATIONS = 4.0  # an answer missing for the usual time and so many usual deviations is late
 DONE_OVER, MOST_CHANCE = 4.0, 5  # fall times over which answers are averaged; attempts out that say nothing
 EPOCH, LIFE = 40.0, 60.0  # s that a customer's number on the counter counts, and lives
-CLEAR, TOLD = 0.5, 0.3  # of a burst: left, so that nobody need be asked; let in, so that the counter is told
+CLEAR, TOLD = 0.5, 0.1  # of a burst: left, so that nobody need be asked; let in, so that the counter is told
 TRIES, MUTE, METER_FRESH = 3, 1.0, 2.5  # calls failed that mute the counter; s for which; s of a meter's word
 HALF = 0.45  # part of its time after which a request that no worker could be given ends
 PRESSED, ADVICE = 0.5, 0.25  # of a class's aim: expected wait that refuses; wait advised to the refused
+PACE_STEP, MOST_PACE = 0.05, 4.0  # weight of one more answer in a worker's pace; the slowest that counts
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 
 
@@ -58,6 +59,7 @@
 class Gateway(Memory):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
+        self.inflight = settings.load_names.index("rif") if "rif" in settings.load_names else -1
         self.intake = INTAKE_PART * max(settings.peer_intake, 1.0)
         self.stock = STOCK * self.intake
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
@@ -158,9 +160,13 @@
                 c.unsaid += amount
             elif epoch == c.epoch:
                 c.counted += amount
-            self.failures += 1
+            spoilt = e.outcome in (Outcome.ERROR, Outcome.RESET)  # and so a sign of life: ask again
+            self.failures += 1 - 0.75 * spoilt
             if self.failures >= TRIES:  # slow or gone: ask it again later, and share as if alone meanwhile
                 self.mute = self.now + MUTE
+            elif spoilt and c.waiting:
+                self._call(e.name >> 24, c)
+                return
         waiting, c.waiting = c.waiting, []
         for call in [self.calls[r] for r in waiting if r in self.calls]:
             self._decide(call.ask, call, c)
@@ -211,16 +217,17 @@
             phi = max(phi, plan.rate * own / (own + rest))
         chance = min(1.0, phi / c.rate)
         if known:
-            return self._steer(units, worth, c, chance)
-        return chance if self.now >= self.mute or c.level >= units else 0.0
+            return self._steer(units, worth, c, chance, c.rest * gap)
+        return chance if c.level >= units else 0.0
 
-    def _steer(self, units: float, worth: float, c: Customer, chance: float) -> float:
+    def _steer(self, units: float, worth: float, c: Customer, chance: float, gone: float = 0.0) -> float:
         """Above phi: the design's chance at a reserve in the customer's store, rising to 1 over it (what the
-        store holds is inside the quota), to 0 under it. Cheaper classes leave more to the others."""
+        store holds is inside the quota), to 0 under it. Cheaper classes leave more to the others. `gone`:
+        what the others will have taken since they were heard of."""
         if not self.s.plans[c.plan].rate:
             return chance
         reserve = RESERVE + RESERVE_LOW * (1 - worth / self.dearest)
-        left = (c.level - units) / self.s.plans[c.plan].burst / reserve
+        left = (c.level - gone - units) / self.s.plans[c.plan].burst / reserve
         return chance * max(0.0, left) if left < 1 else chance + (1 - chance) * min(1.0, left - 1)
 
     def _customer(self, key: int, number: int) -> Customer:
@@ -283,7 +290,7 @@
             drawn = self.rng.choices(ready, cum_weights=sums, k=count)
             free = [w for i, w in enumerate(drawn) if self._fits(w, call, i == 0 and not call.attempts)]
             if free := [w for w in free if w.entry.worker not in used]:
-                return min(free, key=lambda w: w.out / self._share(w))
+                return min(free, key=lambda w: w.load(self.now) * w.pace / self._share(w))
         # Full, or draining unannounced: its emptiness would draw all. When all are, only first attempts go.
         roomy = [w for w in ready if self._fits(w, call, not self.warm)]
         ready = roomy if roomy or call.attempts else [w for w in ready if w.ready]
@@ -344,6 +351,8 @@
         self.carry(w, -1)
         if call is not None and call.attempts[e.attempt].late:
             self.out += 1  # taken off when it was late
+        if e.load and self.inflight >= 0:
+            w.hear(e.load, e.load[self.inflight], self.now)
         w.answered = self.now if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else w.answered
         if e.outcome is Outcome.OK:
             w.failed -= FAIL_STEP * w.failed
@@ -362,6 +371,7 @@
         attempt.out, attempt.may_have_run = False, e.outcome not in NEVER_RAN
         if e.outcome is Outcome.OK:
             usual, deviation = self.usual[call.ask.request_class]
+            w.pace += PACE_STEP * (min(MOST_PACE, e.took / usual) - w.pace)
             deviation += SMOOTH * (abs(e.took - usual) - deviation)
             self.usual[call.ask.request_class] = (usual + SMOOTH * (e.took - usual), deviation)
         if self.s.settles_units and e.true_units:
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -11,6 +11,7 @@
 from dockthread.message import Report, Word, whole, worker_code
 
 NEVER = -1e9  # a time long ago
+REPORTED, REPORT_HALF = 0.2, 0.4  # weight of one more report; s in which its news halves
 TIDY, KEPT = 2.0, 30.0  # s between rounds of forgetting; for which a worker that is gone is kept
 IDLE, MANY = 120.0, 4096  # s after which customers whom peers may name are forgotten, once so many
 
@@ -44,10 +45,27 @@
         self.answered = NEVER
         self.full_for = 0.0
         self.full_until: dict[int, float] = {}  # by plan
+        self.pace = 1.0  # smoothed answer time, in usual ones of its class
+        self.report: tuple[float, ...] = ()  # the last load report, since when it is known
+        self.report_at = NEVER
+        self.others, self.others_mean = 0.0, 0.0  # other gateways' requests, by it and smoothed
+
+    def hear(self, report: tuple[float, ...], inflight: float, now: float) -> None:
+        """Take over a load report. Every answer repeats the last one; only another one is news."""
+        if report != self.report:
+            self.report, self.report_at = report, now
+            self.others = max(0.0, inflight - self.out - 1)  # the answered one was in there
+            self.others_mean += REPORTED * (self.others - self.others_mean)
+
+    def load(self, now: float) -> float:
+        """Requests there: the own ones out, and others by a report that says the less, the older it is."""
+        weight: float = 0.5 ** ((now - self.report_at) / REPORT_HALF)
+        return self.out + self.others_mean + weight * (self.others - self.others_mean)
 
     def renew(self) -> None:
         """A new process: what was known of the old one is void."""
         self.failed, self.answered, self.full_for, self.full_until = 0.0, NEVER, 0.0, {}
+        self.pace, self.others, self.others_mean = 1.0, 0.0, 0.0
 
 
 class Customer:
@@ -104,7 +122,7 @@
         self.warm = False  # whether there is a warm worker
         self.slow, self.out, self.done = 0.0, 0, 0.0  # answer time of late; attempts out, not late; answers
         self.tidied = now
-        self.failures, self.mute = 0, NEVER  # failed calls to the counter in a row; until when none is made
+        self.failures, self.mute = 0.0, NEVER  # failed calls to the counter in a row; until when none is made
         self.customers: dict[int, Customer] = {}
         self.short: dict[int, None] = {}  # customers kept here that are not let in freely
         self.mail: dict[int, dict[int, bool]] = {}  # by peer: customers to tell of, and whether as keeper
