Take the others' use from what ran over a full store before the store itself

Checked: a word of the counter after a long gap took all that the others let in meanwhile off the store, while what had come in beyond a full store was lost: 8 s without a word at half the quota read as an empty store. At fault: `_counted`'s one subtraction, `_customer`'s clip.

--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -152,7 +152,7 @@
             if epoch != c.epoch and gap > sketch.window:  # nothing to compare with but the epoch's start
                 c.level = min(c.level, plan.burst + plan.rate * ((self.now + self.s.ahead) % EPOCH) - e.total)
                 others = 0.0
-            c.level = max(0.0, c.level - others)
+            c.level, c.over = max(0.0, c.level - max(0.0, others - c.over)), 0.0  # first what ran over
             c.rest = c.rest * max(0.0, 1 - gap / sketch.window) + others / max(gap, sketch.window)
             c.epoch, c.counted, c.heard, self.failures = epoch, e.total, self.now, 0
         else:
@@ -235,8 +235,8 @@
         if (c := self.customers.get(key)) is None:
             c = self.customers[key] = Customer(number, plan.burst, self.now, self.born)
         fill = plan.rate - min(plan.rate, c.total) if self._known(c) else plan.rate  # the others use it
-        c.level = min(plan.burst, c.level + fill * (self.now - c.seen))
-        c.seen = self.now
+        level, c.seen = c.level + fill * (self.now - c.seen), self.now
+        c.level, c.over = min(plan.burst, level), c.over + max(0.0, level - plan.burst)
         return c
 
     def _rate(self, plan: api.Plan) -> float:
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -84,6 +84,7 @@
         self.unsaid = 0.0  # units let in that the counter was not told
         self.calling: tuple[int, float] | None = None  # epoch and amount of the call that is out
         self.epoch, self.counted, self.heard = -1, 0.0, NEVER  # last total, of which epoch, and when
+        self.over = 0.0  # units that ran over the full store since then
         self.rest = 0.0  # decayed rate of what the others let in, by the counter
         self.used, self.used_at = 0.0, NEVER  # the meter's last word: use by all, as a part of the quota
         self.waiting: list[int] = []  # requests held for the counter's answer
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -794,3 +794,16 @@
     assert not drive.final.get(request)
     drive.give(api.Counted(call.name, Outcome.OK, 1000.0))
     assert drive.final[request] == ["refused"]
+
+
+def test_what_ran_over_a_full_store_covers_what_the_others_used_meanwhile() -> None:
+    drive = Drive(SHARED)
+    _, call = spend(drive)
+    drive.give(api.Counted(call.name, Outcome.OK, call.amount + 3))
+    c = drive.gateway.customers[7]
+    for others, left in ((8.0, 8.0), (40.0, 0.0)):
+        drive.run(drive.now + 8)  # 16 units came in, and the store holds 8
+        drive.gateway._customer(7, RATE)
+        drive.gateway._call(7, c)
+        drive.give(api.Counted(call.name, Outcome.OK, c.counted + others))
+        assert c.level == pytest.approx(left, abs=1.5)
