--- a/dockthread/net/counter.py
+++ b/dockthread/net/counter.py
@@ -16,7 +16,7 @@
 
 BUFFER = 4 * 1024
 MOST_OUT = 64  # calls without an answer; a line that long would not be answered in time
-SILENCE = 1_000.0  # of the counter with a call out, after which its connection is given up
+SILENCE = 100.0  # of a connection with a call out, after which it is given up; the next may be heard
 PAUSE = 250.0  # after a connection that never came up, before the next
 
 
@@ -38,6 +38,7 @@
         self.unsent: deque[Call] = deque()
         self.out: deque[Call] = deque()
         self.up = False
+        self.heard = 0.0  # when it last said something
         self.writing: asyncio.Task[None] | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -98,12 +99,13 @@
         """Give up a connection whose counter has gone silent, and one to an old address once it is done."""
         now = self._clock.now()
         for line in list(self._lines):
-            oldest = (line.out or line.unsent or [None])[0]
-            if (oldest is not None and now - oldest.started > SILENCE) or (
-                oldest is None and line is not self._line
-            ):
+            done = not (line.out or line.unsent) and line is not self._line
+            if done or self._silent(line, now):
                 self._drop(line)
 
+    def _silent(self, line: Line, now: float) -> bool:
+        return bool(line.out) and now - max(line.heard, line.out[0].started) > SILENCE
+
     def _overdue(self, line: Line, call: Call) -> None:
         if call.told:
             return
@@ -114,6 +116,8 @@
                 self._drop(line)
         else:
             self._end(call, Outcome.TIMEOUT)  # it keeps its place: the answer still comes, in its turn
+            if self._silent(line, self._clock.now()):
+                self._drop(line)
 
     def _end(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
         if not call.told:
@@ -160,7 +164,7 @@
             if line.unsent:
                 line.writing = self._loop.create_task(self._write(line))
             while size := await self._loop.sock_recv_into(line.sock, buffer):
-                data = bytes(buffer[:size])
+                data, line.heard = bytes(buffer[:size]), self._clock.now()
                 reader.feed(data[: bounds.sound(data)])
                 while (message := reader.gets()) is not resp.INCOMPLETE:
                     if not line.out:
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from math import inf
+from math import inf, isfinite
 from typing import Any
 
 import httptools
@@ -106,6 +106,8 @@
         )
         if not isinstance(uid, str):
             raise TypeError("a uid is not a string")
+        if not (isfinite(entry.weight) and isfinite(entry.started)):
+            raise ValueError("a figure is not finite")
         return uid, Address.parse(target["endpoint"]), entry
 
     def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry) -> api.WorkerEntry:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -43,14 +43,14 @@
     return b"$4\r\n12.5\r\n"
 
 
-def counter(at: Address | None) -> tuple[Counter, list[Counted]]:
+def counter(at: Address | None, timeout: float = 5_000.0) -> tuple[Counter, list[Counted]]:
     told, loop = list[Counted](), asyncio.get_running_loop()
     clock = Clock()
 
     def timer(due: float, then: Callable[..., None], *args: object) -> None:
         loop.call_later((due - clock.now()) / 1000, then, *args)
 
-    return Counter(at, clock, told.append, timer, timeout=200.0), told
+    return Counter(at, clock, told.append, timer, timeout=timeout), told
 
 
 def test_calls_share_a_connection_and_are_told_in_turn() -> None:
@@ -106,11 +106,12 @@
             await gate.wait()
             return b"$1\r\n%b\r\n" % args[1]
 
-        count, told = counter(await Numbers(late).start())
+        count, told = counter(await Numbers(late).start(), timeout=20.0)
         count.call(1, 1.0, 60_000.0)
         await until(lambda: told)
         assert told[0].outcome is Outcome.TIMEOUT
         gate.set()
+        count._timeout = 5_000.0
         count.call(2, 1.0, 60_000.0)
         await until(lambda: len(told) == 2)
         assert told[1] == Counted(2, Outcome.OK, 2.0)  # not the 1 that was meant for the first
@@ -137,3 +138,23 @@
         count.close()
 
     run(scenario())
+
+
+def test_a_connection_that_falls_silent_is_left_for_another() -> None:
+    async def scenario() -> None:
+        async def silent(args: list[bytes]) -> bytes:
+            await asyncio.Event().wait()
+            return b""
+
+        numbers = Numbers(silent)
+        count, told = counter(await numbers.start(), timeout=150.0)
+        count.call(1, 1.0, 60_000.0)
+        await until(lambda: told)
+        assert told[0].outcome is Outcome.TIMEOUT
+        numbers.answer, count._timeout = adds, 5_000.0
+        count.call(2, 1.0, 60_000.0)
+        await until(lambda: len(told) == 2)
+        assert (told[1], numbers.opened) == (Counted(2, Outcome.OK, 12.5), 2)
+        count.close()
+
+    run(scenario())
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -162,7 +163,7 @@
     [
         [], {"rev": 1}, message(1) | {"targets": [{}]}, message(1, target("a", 1) | {"state": "new"}),
         message(1, target("a", 1) | {"endpoint": "nowhere"}), message(1, target("a", 1) | {"uid": 7}),
-        message(1, target("a", 1) | {"boot_ms": "x"}),
+        message(1, target("a", 1) | {"boot_ms": "x"}), message(1, target("a", 1) | {"boot_ms": math.nan}),
     ],
 )  # fmt: skip
 def test_malformed_lists_change_nothing(said: Any) -> None:
