End an answer that has begun and stops after 200 ms in place of 500

Checked: 500 ms is `outbound.WHOLE`, the wait for the rest of an answer that is cut short; the request is tried again only after it.

--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -15,7 +15,7 @@
 from dockthread.net.destination_set import Destination, DestinationSet
 
 BUFFER = 16 * 1024
-WHOLE = 500.0  # for the rest of an answer that has begun: backends write one at once
+WHOLE = 200.0  # for the rest of an answer that has begun: backends write one at once
 IDLE_PART = 0.5  # of `ConnIdle`, which is the latest at which a backend closes an idle connection
 
 
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -494,7 +494,7 @@
             client.ask("checkout", d=LONG)
             await until(lambda: backend.seen)
             await until(lambda: backend.closed or len(ingress._timers) > 3)
-            clock.advance(600)  # for the one that says less than it announced
+            clock.advance(250)  # for the one that says less than it announced
             while not backend.closed:
                 ingress.run_timers()
                 await asyncio.sleep(0.005)
