Say once what was said twice: decayed rates, configuration keys, the tests' RESP server

Seen on reading the whole change: the sketch's formula stood three times in rules.py and once more in part, and is now `_Sketch.decayed`; `reread_config` reads through `read_config`, with no third function; `Domain` and `limits` are looked up once; `test_counter` had a server of its own beside `loopback.Backend`. Taken out as dead: `Inbound._feed`'s answer, always True, and the two exits of the loop on it; a time-out asked for again inside its own timer; `DestinationSet.tidy` telling of a move that was told when the node went. Left: the settings' keyword lists, alike in shape alone; api's event classes, too.

--- a/dockthread/net/counter.py
+++ b/dockthread/net/counter.py
@@ -112,7 +112,7 @@
         if call in line.unsent:
             line.unsent.remove(call)
             self._end(call, Outcome.UNREACHABLE)
-            if not line.up and self._clock.now() - call.started >= self._timeout:
+            if not line.up:
                 self._drop(line)
         else:
             self._end(call, Outcome.TIMEOUT)  # it keeps its place: the answer still comes, in its turn
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -70,7 +70,6 @@
         """Forget those long gone: on a long day there are ever new ones."""
         oldest = self._clock.now() - KEPT
         for destination in [d for d in self.by_worker.values() if d.gone < oldest]:
-            self.moved(destination)
             del self.by_worker[destination.worker], self._by_uid[destination.uid]
 
     def apply(self, message: Any, cached: bool = False) -> api.WorkersListed:
--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -180,9 +180,10 @@
                             break
                         await asyncio.sleep(TOO_MUCH)  # an answer is owed: no close, but no work either
                     continue
-                more = self._feed(bytes(buffer[:size]))
-                while True:
-                    more = more and self._take()
+                self._feed(bytes(buffer[:size]))
+                more = True
+                while more:
+                    more = self._take()
                     # What was refused at once is sent from here, with no task of its own.
                     if self._collect() and self._writer is None:
                         self._writing = self._host.clock.now()
@@ -190,21 +191,19 @@
                         await self._write()
                     if self._closed:
                         return
-                    if not more:
-                        break
-                    await asyncio.sleep(0)
+                    if more:
+                        await asyncio.sleep(0)
         except OSError:
             pass
         except Exception:
             logger.exception("an inbound connection failed")
         self.close()
 
-    def _feed(self, data: bytes) -> bool:
+    def _feed(self, data: bytes) -> None:
         bounds, self.used = self._bounds, self._host.clock.now()
         if bounds.between:
             self.begun = self.used
         self._reader.feed(data[: bounds.sound(data)])
-        return True
 
     def _take(self) -> bool:
         """Take a turn's commands from what was read; False once none is left."""
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -50,11 +50,13 @@
         least = math.inf
         for (a, b), rates, times in zip(self.salts, self.rates, self.times, strict=True):
             cell = (a * customer + b) % PRIME % CELLS
-            gap, times[cell] = now - times[cell], now
-            rates[cell] = rates[cell] * max(0.0, 1 - gap / self.window) + units / max(gap, self.window)
+            rates[cell], times[cell] = self.decayed(rates[cell], units, now - times[cell]), now
             least = min(least, rates[cell])
         return least
 
+    def decayed(self, rate: float, units: float, gap: float) -> float:
+        return rate * max(0.0, 1 - gap / self.window) + units / max(gap, self.window)
+
 
 class Gateway(Memory):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
@@ -115,8 +117,7 @@
         self._try(ask.request, call)
         plan = self.s.plans[ask.plan]
         if self.s.may_count and c.spread > 1 and (sketch := self.sketches[ask.plan]) is not None:
-            gap, c.own_at = self.now - c.own_at, self.now
-            c.own = c.own * max(0.0, 1 - gap / sketch.window) + ask.units / max(gap, sketch.window)
+            c.own, c.own_at = sketch.decayed(c.own, ask.units, self.now - c.own_at), self.now
             c.unsaid += ask.units
             if c.unsaid >= TOLD * plan.burst and c.calling is None and self.now >= self.mute:
                 self._call(ask.customer, c)
@@ -153,7 +154,7 @@
                 c.level = min(c.level, plan.burst + plan.rate * ((self.now + self.s.ahead) % EPOCH) - e.total)
                 others = 0.0
             c.level, c.over = max(0.0, c.level - max(0.0, others - c.over)), 0.0  # first what ran over
-            c.rest = c.rest * max(0.0, 1 - gap / sketch.window) + others / max(gap, sketch.window)
+            c.rest = sketch.decayed(c.rest, others, gap)
             c.epoch, c.counted, c.heard, self.failures = epoch, e.total, self.now, 0
         else:
             if e.outcome in NEVER_RAN:
@@ -210,7 +211,7 @@
         by the meter, and never less than an even split. Where the counter spoke the store decides too."""
         gap = self.now - c.heard
         known = gap <= sketch.window
-        own = c.own * max(0.0, 1 - (self.now - c.own_at) / sketch.window)
+        own = sketch.decayed(c.own, 0.0, self.now - c.own_at)
         rest = c.rest if known else max(0.0, c.used * plan.rate - own)
         phi = max(plan.rate / c.spread, units / sketch.window)
         if own and (known or self.now - c.used_at < METER_FRESH):
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -77,16 +77,6 @@
 
 def read_config(environ: Mapping[str, str]) -> Config:
     """The configuration at `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY` override its own."""
-    return _read(environ)
-
-
-def reread_config(environ: Mapping[str, str]) -> Config:
-    """The configuration after SIGHUP. The environment is as old as the process: only the file can say where
-    discovery lies now."""
-    return _read({name: value for name, value in environ.items() if name != "NODE_DISCOVERY"})
-
-
-def _read(environ: Mapping[str, str]) -> Config:
     path = environ.get("NODE_CONFIG")
     if not path:
         raise SettingsError("NODE_CONFIG is not set: it names the configuration file")
@@ -106,12 +96,18 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
+def reread_config(environ: Mapping[str, str]) -> Config:
+    """The configuration after SIGHUP. The environment is as old as the process: only the file can say where
+    discovery lies now."""
+    return read_config({name: value for name, value in environ.items() if name != "NODE_DISCOVERY"})
+
+
 def _config(raw: dict[str, Any], environ: Mapping[str, str]) -> Config:
     settings = raw["settings"]
     if not isinstance(settings, dict):
         raise SettingsError("settings is not an object")
-    limits = settings.get("Limits", {})
-    sockets = raw.get("limits", {}).get("sockets", 1024)
+    limits, domain, machine = settings.get("Limits", {}), settings.get("Domain", {}), raw.get("limits", {})
+    sockets = machine.get("sockets", 1024)
     if sockets < 64:
         raise SettingsError(f"limits.sockets is {sockets}, and an ingress needs at least 64")
     return Config(
@@ -128,10 +124,10 @@
             zones=tuple(settings.get("Azs", ())),
             kinds=tuple(settings.get("Models", ())),
         ),
-        memory_mb=float(raw.get("limits", {}).get("memory_mb", 192.0)),
-        most_units=int(settings.get("Domain", {}).get("Largest", 1_000_000)),
+        memory_mb=float(machine.get("memory_mb", 192.0)),
+        most_units=int(domain.get("Largest", 1_000_000)),
         counter=Address.parse(raw["counter"]) if raw.get("counter") else None,
-        counter_timeout=settings.get("Domain", {}).get("CounterTimeout", SECOND / 20) / MILLISECOND,
+        counter_timeout=domain.get("CounterTimeout", SECOND / 20) / MILLISECOND,
         conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
         connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
         most_open=limits.get("MaxOpen", 20_000),
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -3,59 +3,35 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
-import hiredis
 import pytest
 
 from dockthread.api import Counted, Outcome
 from dockthread.clock import Clock
 from dockthread.net.counter import Counter
 from dockthread.settings import Address
-from tests.loopback import run, until
-
-
-class Numbers:
-    """A counter that answers as the test says."""
-
-    def __init__(self, answer: Callable[[list[bytes]], Awaitable[bytes | None]]) -> None:
-        self.answer, self.seen, self.opened = answer, list[list[bytes]](), 0
-
-    async def start(self) -> Address:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return Address("127.0.0.1", int(self.server.sockets[0].getsockname()[1]))
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.opened += 1
-        parser = hiredis.Reader()
-        while data := await reader.read(65536):
-            parser.feed(data)
-            while args := parser.gets():
-                self.seen.append(args)
-                if (said := await self.answer(args)) is None:
-                    writer.close()
-                    return
-                writer.write(said)
-        writer.close()
+from tests.loopback import Backend, run, until
 
 
 async def adds(args: list[bytes]) -> bytes:
     return b"$4\r\n12.5\r\n"
 
 
-def counter(at: Address | None, timeout: float = 5_000.0) -> tuple[Counter, list[Counted]]:
+def counter(port: int | None, timeout: float = 5_000.0) -> tuple[Counter, list[Counted]]:
     told, loop = list[Counted](), asyncio.get_running_loop()
     clock = Clock()
 
     def timer(due: float, then: Callable[..., None], *args: object) -> None:
         loop.call_later((due - clock.now()) / 1000, then, *args)
 
+    at = None if port is None else Address("127.0.0.1", port)
     return Counter(at, clock, told.append, timer, timeout=timeout), told
 
 
 def test_calls_share_a_connection_and_are_told_in_turn() -> None:
     async def scenario() -> None:
-        numbers = Numbers(adds)
+        numbers = Backend(adds)
         count, told = counter(await numbers.start())
         for name in (1, 2, 3):
             count.call(name, 2.5, 60_000.0)
@@ -83,7 +59,7 @@
         async def answers(args: list[bytes]) -> bytes | None:
             return said
 
-        numbers = Numbers(answers)
+        numbers = Backend(answers)
         count, told = counter(await numbers.start())
         count.call(1, 1.0, 60_000.0)
         await until(lambda: told)
@@ -106,7 +82,7 @@
             await gate.wait()
             return b"$1\r\n%b\r\n" % args[1]
 
-        count, told = counter(await Numbers(late).start(), timeout=20.0)
+        count, told = counter(await Backend(late).start(), timeout=20.0)
         count.call(1, 1.0, 60_000.0)
         await until(lambda: told)
         assert told[0].outcome is Outcome.TIMEOUT
@@ -122,11 +98,11 @@
 
 def test_it_moves_at_once_and_does_without_an_address() -> None:
     async def scenario() -> None:
-        old, new = Numbers(adds), Numbers(adds)
+        old, new = Backend(adds), Backend(adds)
         count, told = counter(await old.start())
         count.call(1, 1.0, 60_000.0)
         await until(lambda: told)
-        count.move(await new.start())
+        count.move(Address("127.0.0.1", await new.start()))
         count.call(2, 1.0, 60_000.0)
         await until(lambda: len(told) == 2)
         assert (len(old.seen), len(new.seen)) == (1, 1)
@@ -146,7 +122,7 @@
             await asyncio.Event().wait()
             return b""
 
-        numbers = Numbers(silent)
+        numbers = Backend(silent)
         count, told = counter(await numbers.start(), timeout=150.0)
         count.call(1, 1.0, 60_000.0)
         await until(lambda: told)
