--- a/dockthread/routes/bounds.py
+++ b/dockthread/routes/bounds.py
@@ -62,7 +62,7 @@
 
     def __init__(self, budget: Budget | None, limit: Limit, queue: int, now: float, rng: random.Random) -> None:
         self.budget, self.limit, self.queue, self.rng = budget, limit, Queue(queue), rng
-        self.copy_budget = Budget(0.0, 0.0, now)
+        self.copy_budget = Budget(1.0, 0.0, now)
         self.open = self.requests = self.attempts = self.copies = self.copies_won = 0
         self.queued = self.refused_limit = self.refused_budget = 0
         self.queue_wait = 0.0  # s, added up
@@ -203,11 +203,9 @@
         rules = self.rules
         if rules.copies is False or (rules.attempts and sent >= rules.attempts):
             return False
-        if rules.copies and rules.copy_share < 1.0:
-            self._spent.copy_budget.set(rules.copy_share, 0.0)
-            if not self._spent.copy_budget.draw(now):
-                self._spent.refused_budget += 1
-                return False
+        if rules.copies and rules.copy_share < 1.0 and not self._spent.copy_budget.draw(now):
+            self._spent.refused_budget += 1
+            return False
         if not self._draw(now):
             return False
         self._copied.add(sent)
--- a/dockthread/routes/budget.py
+++ b/dockthread/routes/budget.py
@@ -17,7 +17,7 @@
     def __init__(self, part: float, floor: float, now: float) -> None:
         self.part, self.floor = part, floor
         self._at, self._rate = now, 0.0  # decayed rate of first tries
-        self.left = min(LEAST_HELD, floor * SPAN)
+        self.left = self.most()
         self.drawn = self.refused = 0
 
     def set(self, part: float, floor: float) -> None:
--- a/dockthread/routes/check.py
+++ b/dockthread/routes/check.py
@@ -20,6 +20,7 @@
 from dockthread.settings import Names
 
 PROVEN = frozenset((Outcome.FULL, Outcome.UNREACHABLE))  # outcomes after which nothing can have run
+STARVED = 0.5  # of what one firm may need: a limit below it is an error, and not only a warning
 USUAL = 0.2  # of a class's aim: an answer's usual time, as the module assumes before it has seen any
 NOTHING = Names((), (), (), ())
 
@@ -180,7 +181,7 @@
         if plan.rate and most < need:
             key = "limit_max" if route.adaptive else "limit"
             wrong = f"{most} at once serves {most / usual:.3g} {kind} a second; one firm of {name} alone may ask more"
-            yield key, wrong, f"{int(need) + 1} at least", False
+            yield key, wrong, f"{int(need) + 1} at least", most >= STARVED * need
             return
 
 
--- a/dockthread/routes/limit.py
+++ b/dockthread/routes/limit.py
@@ -5,8 +5,9 @@
     gradient = clamp(TOLERANCE * best / now, 0.5, 1)
     limit    = (1 - SMOOTH) * limit + SMOOTH * (limit * gradient + sqrt(limit))
 
-once each `WINDOW` seconds. `now` is a short mean of answer times; `best` the least of these, which rises by `LEAK` a second. A long mean in its
-place (Gradient2) follows a jam upward and lets the limit grow to its end: seen here, 400 for a capacity of 80. An
+once each `WINDOW` seconds. `now` is a short mean of answer times; `best` the least of these, which rises by `LEAK` a
+second. A long mean in its place (Gradient2) follows a jam upward and lets the limit grow to its end: seen here, 400
+for a capacity of 80. An
 attempt that was turned away or timed out cuts the limit by a tenth, once each `CUT_APART` seconds. While less than
 half of the limit is in use it does not grow: the answer times say nothing of a load that is not there. It never
 leaves `least..most`.
--- a/dockthread/routes/table.py
+++ b/dockthread/routes/table.py
@@ -170,11 +170,14 @@
         least, most = o.limit_min or min(LEAST, o.limit_max or LEAST), o.limit_max or max(MOST, o.limit_min or 0)
         part = PART if o.retry_budget is None else float(o.retry_budget)
         floor = FLOOR if o.retry_floor is None else o.retry_floor
+        share = 1.0 if o.copy_share is None else float(o.copy_share)
         spent = self.spent.get(name)
         if spent is None:
             limit = Limit(o.fixed_limit, least, most, o.adaptive)
-            self.spent[name] = Spent(Budget(part, floor, now), limit, o.queue or 0, now, self._rng)
+            self.spent[name] = spent = Spent(Budget(part, floor, now), limit, o.queue or 0, now, self._rng)
+            spent.copy_budget.set(share, 0.0)
             return
+        spent.copy_budget.set(share, 0.0)
         spent.limit.set(o.fixed_limit, least, most, o.adaptive)
         spent.queue.most = o.queue or 0
         if spent.budget is None:
