Match routes by two look-ups and prove a reloaded file in a thread

Cause: 1,000 routes that differ by units cost 194 us a match, and proving 1,000 routes held the loop for 530 ms. Change: units are part of the index's key, only routes that could cover each other are compared, and a reload reads and proves the file in a thread.

--- /dev/null
+++ b/benchmarks/routes.py
@@ -0,0 +1,214 @@
+"""What routes cost and bring.
+
+    python -m benchmarks.routes cpu [--rounds 150] [--requests 100]   CPU a request with 0, 1, 10 and 1,000 routes
+    python -m benchmarks.routes match                                 time of a match by number of routes
+    python -m benchmarks.routes copies [--seconds 20]                 answer times with a slow node, copies off and on
+    python -m benchmarks.routes refusal                               load a request where all nodes refuse or fail
+    python -m benchmarks.routes reload [--seconds 10]                 reloads a second under load, and what failed
+
+`cpu` is paired as in `benchmarks.telemetry`: all variants at once on one core, ratios of the same round.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import statistics
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import hiredis
+
+from benchmarks.rig import ANSWER, Daemon, Result, closed_loop, daemon, main, open_loop, pool, spread
+from dockthread.routes.bounds import Facts
+from dockthread.routes.options import RouteOptions
+from dockthread.routes.table import Table
+from dockthread.settings import Names
+
+STATUS = "class = seat-status\nattempts = 3\nbackoff = 20ms\n"
+NAMES = Names(("seat-status", "seat-checkout"), ("klein", "mittel", "gross"), (), ())
+
+
+def routes(count: int) -> str:
+    """`count` routes, of which the last takes the benchmark's requests; the others name firms or plans of others."""
+    named = [f"[route firm-{n}]\nfirm = {n + 100_000:x}\nattempts = 2\n" for n in range(count - 1)]
+    return "".join(named) + (f"[route status]\n{STATUS}" if count else "")
+
+
+async def cpu(rounds: int, requests: int) -> None:
+    counts = (0, 1, 10, 1000)
+    cost: dict[int, list[float]] = {n: [] for n in counts}
+    speed: dict[int, list[float]] = {n: [] for n in counts}
+    cores = sorted(os.sched_getaffinity(0))
+    if len(cores) > 1:
+        os.sched_setaffinity(0, cores[1:])
+    shuffled = random.Random(1)
+    async with AsyncExitStack() as stack:
+        running = {}
+        for n in counts:
+            folder = Path(stack.enter_context(TemporaryDirectory()))
+            at = await stack.enter_async_context(pool())
+            running[n] = await stack.enter_async_context(daemon(folder, at, ini=routes(n), core=cores[0]))
+            await closed_loop(running[n].port, 2000)
+        for _ in range(rounds):
+            for n in shuffled.sample(counts, len(counts)):
+                begun = running[n].cpu()
+                result = await closed_loop(running[n].port, requests)
+                cost[n].append((running[n].cpu() - begun) / len(result.times) * 1e6)
+                speed[n].append(len(result.times) / result.seconds)
+        memory = {n: running[n].resident() / 1e6 for n in counts}
+    for n in counts:
+        ratios = sorted(mine / none for mine, none in zip(cost[n], cost[0], strict=True))
+        quarter = len(ratios) // 4
+        print(f"{n:>5} routes: CPU a request, us: {spread(cost[n])}; against none: median {statistics.median(ratios):.3f}, half {ratios[quarter]:.3f} to {ratios[-quarter]:.3f}; {statistics.median(speed[n]):.0f}/s; "
+              f"{memory[n]:.1f} MB")  # fmt: skip
+
+
+async def match() -> None:
+    for kind in ("firms", "units", "classes"):
+        for count in (1, 10, 100, 1000):
+            made: dict[str, RouteOptions] = {}
+            for n in range(count):
+                if kind == "firms":
+                    made[f"r{n}"] = RouteOptions(firm=(f"{n + 1:x}",))
+                elif kind == "units":
+                    made[f"r{n}"] = RouteOptions(units=str(n + 1))
+                else:
+                    made[f"r{n}"] = RouteOptions(classes=("seat-checkout",), firm=(f"{n + 1:x}",))
+            made["last"] = RouteOptions(classes=("seat-status",))
+            table = Table(NAMES, 0, 1)
+            begun = time.perf_counter()
+            table.replace(made, 0.0)
+            built = time.perf_counter() - begun
+            facts = [Facts(0, n % 3, False, 7_000_000 + n, 1_000_000, False) for n in range(1000)]
+            for one in facts:
+                table.find(one)
+            begun = time.process_time()
+            for _ in range(20):
+                for one in facts:
+                    table.find(one)
+            spent = (time.process_time() - begun) / 20_000
+            print(f"{kind:<8} {count:>5} routes: {spent * 1e6:.2f} us a match, {built * 1e3:.1f} ms to replace all")
+
+
+class Odd(asyncio.Protocol):
+    """A node that takes `lag` s, or says something else than yes. Counts what it saw."""
+
+    seen = 0
+
+    def __init__(self, lag: float, answer: bytes) -> None:
+        self.lag, self.answer = lag, answer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport: asyncio.Transport = transport  # type: ignore[assignment]  # uvloop's own class
+        self.reader = hiredis.Reader()
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        while self.reader.gets() is not False:
+            Odd.seen += 1
+            if self.lag:
+                asyncio.get_running_loop().call_later(self.lag, self.say)
+            else:
+                self.say()
+
+    def say(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(self.answer)
+
+
+@asynccontextmanager
+async def odd_pool(lags: list[float], answer: bytes = ANSWER) -> AsyncIterator[dict[str, Any]]:
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(partial(Odd, lag, answer), "127.0.0.1", 0) for lag in lags]
+    async with pool(1) as at:
+        yield {"nodes": [s.sockets[0].getsockname()[1] for s in servers], "discovery": at["discovery"]}
+    for server in servers:
+        server.close()
+
+
+async def copies(seconds: float) -> None:
+    """Ten nodes of 10 ms, one of them 300 ms, 140 requests a second; then all 10 ms but one request in fifty."""
+    share = "copies = yes\ncopy_after = 60ms\ncopy_share = 10%\nretry_floor = 10\n"
+    for name, text in (
+        ("off", "[route s]\nclass = seat-status\ncopies = no\nattempts = 1\n"),
+        ("on, 60ms", f"[route s]\nclass = seat-status\nattempts = 2\n{share}"),
+        ("on, p95", f"[route s]\nclass = seat-status\nattempts = 2\n{share.replace('60ms', 'p95')}"),
+    ):
+        async with odd_pool([0.01] * 9 + [0.3]) as at:
+            with TemporaryDirectory() as folder:
+                async with daemon(Path(folder), at, ini=text) as ingress:
+                    await open_loop(ingress.port, 140, 2)
+                    before = Odd.seen
+                    result = await open_loop(ingress.port, 140, seconds)
+                    load = (Odd.seen - before) / result.asked
+        print(f"copies {name:<9}: ms p50 {result.quantile(0.5):.1f}, p99 {result.quantile(0.99):.1f}, "
+              f"p99.9 {result.quantile(0.999):.1f}, max {max(result.times):.1f}; {load:.3f} calls each; {result.outcomes}",
+              flush=True)  # fmt: skip
+
+
+async def refusal() -> None:
+    for word, answer in (("turned away", b"-BUSY\r\n"), ("failed", b"-ERR failed\r\n")):
+        for name, text in (
+            ("no route", ""),
+            ("budget 20%", "[route s]\nclass = seat-status\nretry_budget = 20%\nretry_floor = 1\n"),
+            ("budget 100%", "[route s]\nclass = seat-status\nretry_budget = 100%\nretry_floor = 1\n"),
+        ):
+            async with odd_pool([0.005] * 6, answer) as at:
+                with TemporaryDirectory() as folder:
+                    async with daemon(Path(folder), at, ini=text) as ingress:
+                        before = Odd.seen
+                        result = await open_loop(ingress.port, 200, 8)
+                        load = (Odd.seen - before) / result.asked
+            print(f"all nodes: {word:<11} {name:<11}: {load:.3f} calls a request of {result.asked}", flush=True)
+
+
+async def reload(seconds: float) -> None:
+    async with pool() as at:
+        with TemporaryDirectory() as name:
+            folder = Path(name)
+            async with daemon(folder, at, ini=routes(10)) as ingress:
+                loading = asyncio.create_task(_load(ingress, seconds))
+                count, end = 0, time.monotonic() + seconds
+                while time.monotonic() < end:
+                    text = routes(10 + count % 3).replace("attempts = 3", f"attempts = {1 + count % 4}")
+                    (folder / "my.ini").write_text(text)
+                    os.kill(ingress.pid, signal.SIGHUP)
+                    count += 1
+                    await asyncio.sleep(0.02)
+                result = await loading
+    print(f"{count / seconds:.0f} reloads a second over {seconds:g} s; {result.outcomes}; "
+          f"ms p50 {result.quantile(0.5):.2f}, p99 {result.quantile(0.99):.2f}, max {max(result.times):.2f}")  # fmt: skip
+
+
+async def _load(ingress: Daemon, seconds: float) -> Result:
+    return await open_loop(ingress.port, 140, seconds)
+
+
+def start() -> None:
+    parser = argparse.ArgumentParser(description="What routes cost and bring.")
+    parser.add_argument("what", choices=["cpu", "match", "copies", "refusal", "reload"])
+    parser.add_argument("--rounds", type=int, default=150)
+    parser.add_argument("--requests", type=int, default=100)
+    parser.add_argument("--seconds", type=float, default=0.0)
+    o = parser.parse_args()
+    jobs = {
+        "cpu": lambda: cpu(o.rounds, o.requests),
+        "match": match,
+        "copies": lambda: copies(o.seconds or 20.0),
+        "refusal": refusal,
+        "reload": lambda: reload(o.seconds or 10.0),
+    }
+    main(jobs[o.what]())
+
+
+if __name__ == "__main__":
+    start()
--- a/dockthread/routes/table.py
+++ b/dockthread/routes/table.py
@@ -1,9 +1,8 @@
 """The table of routes: which one a request takes. First match wins; an index keeps a thousand routes as cheap as one.
 
-The index. A request's class, plan, verb and retry mark have few values, so for each combination met, the routes
-that could match are listed once, in their order, and kept. Firms would make that list long: routes that name firms
-are found by firm, and only those that name none are walked through. So a match costs a look-up, and as many tests
-of units as routes of the same class and plan differ by units alone.
+The index. A request's class, plan, verb, retry mark and units have few values, so for each combination met, the
+routes that could match are listed once, in their order, and kept. Firms would make that list long: routes that name
+firms are found by firm, and of those that name none only the first can match. So a match costs two look-ups.
 """
 
 from __future__ import annotations
@@ -11,7 +10,6 @@
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from math import inf
 from typing import TYPE_CHECKING, Any
 
 from dockthread.routes.bounds import BACKOFF_MAX, WORDS, Bounds, Facts, Rules, Spent
@@ -23,6 +21,7 @@
 if TYPE_CHECKING:
     from dockthread.net.resp import Ask
 
+MOST_LISTED = 4096  # combinations kept: a site whose units have no bound must not fill the memory
 DEFAULT = "default"  # the name of what matches no route; it bounds nothing
 
 
@@ -45,11 +44,12 @@
             and (not self.plans or facts.plan in self.plans)
             and (not self.write or facts.write in self.write)
             and (self.retry is None or facts.retry == self.retry)
+            and (self.units is None or facts.units in self.units)
         )
 
     def fits(self, facts: Facts) -> bool:
-        """Of one that suits: whether firm and units are right too."""
-        return (not self.firms or facts.firm in self.firms) and (self.units is None or facts.units in self.units)
+        """Of one that suits: whether the firm is right too."""
+        return not self.firms or facts.firm in self.firms
 
     def misses(self, facts: Facts) -> list[str]:
         """Which of its keys the request does not fit."""
@@ -87,10 +87,11 @@
 
 @dataclass(slots=True)
 class _Listed:
-    """The routes for one combination of class, plan, verb and retry mark."""
+    """The routes for one combination of class, plan, verb, retry mark and units: the first for each firm, and the
+    first that names none, behind which nothing can match."""
 
-    by_firm: dict[int, list[Matcher]] = field(default_factory=dict)
-    rest: list[Matcher] = field(default_factory=list)
+    by_firm: dict[int, Matcher] = field(default_factory=dict)
+    rest: Matcher | None = None
 
 
 def matchers(routes: Mapping[str, RouteOptions], names: Names, zone: int) -> list[Matcher]:
@@ -147,7 +148,7 @@
         self._rng = random.Random(seed)
         self.generation = 0
         self._matchers: list[Matcher] = []
-        self._index: dict[tuple[int, int, bool, bool], _Listed] = {}
+        self._index: dict[tuple[int, int, bool, bool, int], _Listed] = {}
         self._default = Rules(DEFAULT)
         self.spent: dict[str, Any] = {}  # of Spent, by name
         self._dropped: set[str] = set()
@@ -192,32 +193,23 @@
                 self._dropped.discard(name)
 
     def find(self, facts: Facts) -> Matcher | None:
-        key = (facts.request_class, facts.plan, facts.write, facts.retry)
+        key = (facts.request_class, facts.plan, facts.write, facts.retry, facts.units)
         if (listed := self._index.get(key)) is None:
+            if len(self._index) >= MOST_LISTED:
+                self._index.clear()
             listed = self._index[key] = self._list(facts)
-        best, place = None, inf
-        for one in listed.by_firm.get(facts.firm, ()):
-            if one.fits(facts):
-                best, place = one, one.place
-                break
-        for one in listed.rest:
-            if one.place > place:
-                break
-            if one.fits(facts):
-                return one
-        return best
+        return listed.by_firm.get(facts.firm, listed.rest)
 
     def _list(self, facts: Facts) -> _Listed:
         listed = _Listed()
         for one in self._matchers:
             if not one.suits(facts):
                 continue
-            for firm in one.firms:
-                listed.by_firm.setdefault(firm, []).append(one)
             if not one.firms:
-                listed.rest.append(one)
-                if one.units is None:
-                    break  # nothing behind it can match
+                listed.rest = one
+                break
+            for firm in one.firms:
+                listed.by_firm.setdefault(firm, one)
         return listed
 
     def rules_for(self, facts: Facts) -> Rules:
@@ -240,10 +232,18 @@
 
 def shadows(found: list[Matcher], halls: Mapping[str, frozenset[str]]) -> Iterable[tuple[str, str]]:
     """Routes that can never match, each with one that shadows it. `halls` by route; empty: everywhere."""
-    for at, one in enumerate(found):
+    broad: list[Matcher] = []
+    by_firm: dict[int, list[Matcher]] = {}
+    for one in found:
         mine = halls[one.rules.name]
-        for earlier in found[:at]:
+        # Only one that names no firm, or the same ones, can cover it: a thousand routes by firm are no square.
+        named = by_firm.get(min(one.firms), []) if one.firms else []
+        for earlier in (*broad, *named):
             theirs = halls[earlier.rules.name]
             if earlier.covers(one) and (not theirs or (mine and mine <= theirs)):
                 yield one.rules.name, earlier.rules.name
                 break
+        if not one.firms:
+            broad.append(one)
+        for firm in one.firms:
+            by_firm.setdefault(firm, []).append(one)
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -39,6 +39,8 @@
         self._exporter: Exporter | None = None
         self._routes: Table | None = None
         self._applied: dict[str, object] = {}
+        self._reloading: asyncio.Task[None] | None = None
+        self._asked_again = False
         if read is not None:
             self._apply(read)
 
@@ -76,13 +78,34 @@
                 await self._exporter.farewell()
 
     def reload(self) -> None:
-        """SIGHUP: read both files again. Where either is bad, nothing changes."""
+        """SIGHUP: read both files again. Where either is bad, nothing changes. One that comes while files are being
+        read has them read once more."""
+        if self._file is None:
+            self._take_over(None)
+            return
+        self._asked_again = True
+        if self._reloading is None or self._reloading.done():
+            self._reloading = asyncio.get_running_loop().create_task(self._reload(self._file))
+
+    async def _reload(self, file: str) -> None:
+        """A thousand routes take half a second to prove: that is done in a thread, and answers go on."""
+        from dockthread.sections import load
+
+        while self._asked_again:
+            self._asked_again = False
+            try:
+                config = reread_config(os.environ)
+                read = await asyncio.to_thread(load, file, config.module, config.names)
+            except SettingsError as error:
+                logger.warning("the old configuration stays: {}", error)
+                continue
+            self._take_over(read)
+
+    def _take_over(self, read: Read | None) -> None:
         try:
             config = reread_config(os.environ)
-            if self._file is not None:
-                from dockthread.sections import load
-
-                self._apply(load(self._file, config.module, config.names))
+            if read is not None:
+                self._apply(read)
         except SettingsError as error:
             logger.warning("the old configuration stays: {}", error)
             return
