Send an open-loop load from a seed or a trace: dockthread lab load

Need: nobody can say what a change does under load with a tool that waits for answers and so hides every stall. Change: arrivals by a Poisson process of piecewise linear rate or from a trace, times from the intended start in HdrHistograms, several processes, runs void where the tool itself fell behind; report stamps on full seconds, receivers by name with several addresses, phases bound to log lines.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -200,7 +200,7 @@
     parser.add_argument("--requests", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=0.0)
     o = parser.parse_args()
-    jobs = {
+    jobs: dict[str, Any] = {
         "cpu": lambda: cpu(o.rounds, o.requests),
         "match": match,
         "copies": lambda: copies(o.seconds or 20.0),
--- /dev/null
+++ b/dockthread/cli/lab.py
@@ -0,0 +1,153 @@
+"""`dockthread lab`: the laboratory's commands."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dockthread import api
+from dockthread.lab.arrivals import Mix, read_trace, shape, weights, write_trace
+from dockthread.lab.load import Target
+from dockthread.lab.outcome import OUTCOMES, Outcome
+from dockthread.lab.processes import Plan, send, send_from_processes
+from dockthread.settings import Address, SettingsError, read_for_check
+from dockthread.telemetry.options import host_port
+
+BAD_RUN, VOID = 1, 2
+CLASSES = "seat-status:3,seat-checkout:1"
+DEADLINES = "seat-status:4,seat-checkout:12"
+
+
+@click.group()
+def lab() -> None:
+    """Put an ingress under known load."""
+
+
+def parsed(parse: Any) -> Any:
+    """A click callback from a parser that raises ValueError."""
+
+    def callback(ctx: click.Context, param: click.Parameter, value: Any) -> Any:
+        try:
+            return parse(value) if value is not None else None
+        except (ValueError, SettingsError) as error:
+            raise click.BadParameter(str(error)) from error
+
+    return callback
+
+
+def address(text: str) -> Address:
+    found = host_port(text)
+    if found is None:
+        raise ValueError(f"{text!r} is no address: write HOST:PORT")
+    return Address(*found)
+
+
+@lab.command()
+@click.argument("where", metavar="ADDRESS", callback=parsed(address))
+@click.option("--rate", default="140@10s", show_default=True, callback=parsed(shape), help="Or 100>300@30s,300@1min.")
+@click.option("--trace", type=click.Path(exists=True, dir_okay=False, path_type=Path), help="Recorded ones instead.")
+@click.option("--record", type=click.Path(dir_okay=False, path_type=Path), help="Write the arrivals as a trace.")
+@click.option("--class", "classes", default=CLASSES, show_default=True, callback=parsed(weights))
+@click.option("--plan", "plans", default="klein:2,mittel:1,gross:1", show_default=True, callback=parsed(weights))
+@click.option("--firms", default=200, show_default=True, type=click.IntRange(1, 1_000_000), help="Of each plan.")
+@click.option("--skew", default=0.0, show_default=True, type=click.FloatRange(0, 10), help="0: all firms alike.")
+@click.option("--units", default=1, show_default=True, type=click.IntRange(1, 1_000), help="Of a request, at most.")
+@click.option("--gateways", default=1, show_default=True, type=click.IntRange(1, 1_000))
+@click.option("--deadline", default=DEADLINES, show_default=True, callback=parsed(weights), help="Seconds by class.")
+@click.option("--write", default="seat-checkout", show_default=True, help="Classes that go by API.WRITE.")
+@click.option("--settings", metavar="JSON", help="Take classes' deadlines and verbs from the platform's settings.")
+@click.option("--connections", default=1000, show_default=True, type=click.IntRange(1, 100_000), help="Of a process.")
+@click.option("--processes", default=1, show_default=True, type=click.IntRange(1, 64))
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="The summary as one JSON object.")
+@click.pass_context
+def load(
+    ctx: click.Context,
+    where: Address,
+    rate: Any,
+    trace: Path | None,
+    record: Path | None,
+    classes: Any,
+    plans: Any,
+    firms: int,
+    skew: float,
+    units: int,
+    gateways: int,
+    deadline: Any,
+    write: str,
+    settings: str | None,
+    connections: int,
+    processes: int,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Send an open-loop load to an ingress, or to any address that speaks the protocol.
+
+    Times run from the intended start of each request, so that no stall is hidden. Exit codes: 0 done, 1 nothing was
+    answered, 2 the run is void since the tool itself fell behind, or bad words.
+    """
+    deadlines, writes = dict(deadline), frozenset(filter(None, write.split(",")))
+    if settings:
+        told, names = read_for_check(settings)
+        pairs = list(zip(names.classes, told.classes, strict=True))
+        deadlines = {name: one.deadline for name, one in pairs}
+        writes = frozenset(name for name, one in pairs if one.effect is not api.Effect.SAFE)
+    mix = Mix(classes, plans, firms, skew, units, gateways)
+    plan = Plan(Target(where.host, where.port, deadlines, writes, connections), seed, rate, mix, trace)
+    try:
+        named = {one.request_class for one in read_trace(trace)} if trace else {name for name, _ in classes}
+    except ValueError as error:
+        raise click.ClickException(str(error)) from error
+    if unknown := sorted(named - deadlines.keys()):
+        raise click.UsageError(f"no deadline is known for {', '.join(unknown)}: set --deadline or --settings")
+    if record:
+        click.echo(f"{write_trace(record, plan.arrivals())} arrivals written to {record}", err=True)
+    outcome = _send(plan, processes, sum(piece.requests for piece in rate) if not trace else None)
+    if as_json:
+        click.echo(json.dumps(outcome.summary()))
+    else:
+        for line in lines(outcome):
+            click.echo(line)
+    if outcome.void:
+        ctx.exit(VOID)
+    if not any(outcome.total(word) for word in ("served", "refused", "failed")):
+        ctx.exit(BAD_RUN)
+
+
+def _send(plan: Plan, processes: int, expected: float | None) -> Outcome:
+    if processes > 1:
+        return send_from_processes(plan, processes)
+    from rich.console import Console
+    from rich.progress import Progress
+
+    shown = 0.0
+    with Progress(console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task("requests", total=expected)
+
+        def progress(asked: int) -> None:
+            nonlocal shown
+            if time.monotonic() - shown > 0.2:
+                shown = time.monotonic()
+                bar.update(task, completed=asked)
+
+        return asyncio.run(send(plan, 0, 1, progress))
+
+
+def lines(outcome: Outcome) -> list[str]:
+    found = outcome.summary()
+    counts = ", ".join(f"{found['outcomes'][word]} {word}" for word in OUTCOMES if found["outcomes"][word])
+    out = [f"{found['asked']} requests in {found['seconds']:g} s over {found['connections']} connections: {counts}"]
+    for name, times in found["times_ms"].items():
+        shown = ", ".join(f"{word} {value:g}" for word, value in times.items())
+        out.append(f"{name}: {found['by_class'][name]}; ms from the intended start: {shown}")
+    late = found["start_lateness_ms"]
+    out.append(f"starts late by ms: p50 {late['p50']:g}, p99 {late['p99']:g}, max {late['max']:g}; "
+               f"{found['tool_cpu_us_per_request']:g} us of the tool's CPU a request")  # fmt: skip
+    if found["void"]:
+        out.append(f"void: {found['void']}")
+    return out
--- a/dockthread/cli/main.py
+++ b/dockthread/cli/main.py
@@ -15,6 +15,7 @@
     "check": ("dockthread.cli.files", "check"),
     "config": ("dockthread.cli.files", "config"),
     "metrics": ("dockthread.cli.metrics", "metrics"),
+    "lab": ("dockthread.cli.lab", "lab"),
     "completion": ("dockthread.cli.completion", "completion"),
 }
 BAD = 2
--- a/dockthread/net/lifecycle.py
+++ b/dockthread/net/lifecycle.py
@@ -33,7 +33,7 @@
     def enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
             raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
-        logger.info("{} -> {}", self.phase.value, phase.value)
+        logger.bind(phase=phase.value).info("{} -> {}", self.phase.value, phase.value)
         self.phase = phase
         self.entered(phase.value)
 
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -243,7 +243,8 @@
                 reply = self._replies.reply(message)
                 return reply, not reply.known or bounds.broken or not bounds.between or reader.has_data()
             if bounds.broken:
-                logger.debug("{} says what cannot be read", connection.endpoint)
+                log = logger.bind(worker=call.worker, uid=connection.destination.uid)
+                log.debug("{} says what cannot be read", connection.endpoint)
                 return resp.Reply(Outcome.ERROR), True
             if not begun:
                 begun = True
--- a/dockthread/telemetry/links.py
+++ b/dockthread/telemetry/links.py
@@ -38,10 +38,16 @@
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         found = await loop.getaddrinfo(self._host, self._port, type=socket.SOCK_STREAM)
-        family, kind, proto, _, address = found[0]
-        self._sock = sock = socket.socket(family, kind | socket.SOCK_NONBLOCK, proto)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
-        await loop.sock_connect(sock, address)
+        for number, (family, kind, proto, _, address) in enumerate(found, 1):
+            self._sock = sock = socket.socket(family, kind | socket.SOCK_NONBLOCK, proto)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+            try:
+                await loop.sock_connect(sock, address)
+                return
+            except OSError:
+                self.close()
+                if number == len(found):
+                    raise
 
     async def send(self, chunks: tuple[bytes, ...]) -> None:
         sock, loop = self._sock, asyncio.get_running_loop()
@@ -78,7 +84,8 @@
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
         found = await loop.getaddrinfo(self._host, self._port, type=socket.SOCK_DGRAM)
-        family, kind, proto, _, address = found[0]
+        # A datagram that nobody takes tells nothing of the next address: as collectd's default, IPv4 first.
+        family, kind, proto, _, address = min(found, key=lambda one: one[0] != socket.AF_INET)
         self._sock = socket.socket(family, kind | socket.SOCK_NONBLOCK, proto)
         self._sock.connect(address)
 
--- a/dockthread/telemetry/stamps.py
+++ b/dockthread/telemetry/stamps.py
@@ -12,6 +12,7 @@
 
 from math import ceil, floor
 
+EARLY = 0.05  # s by which a report on a full second may be stamped before it, by the system's clock
 STEP = 0.001  # s by which two stamps differ at least
 
 
@@ -28,6 +29,6 @@
         stamp = max(unix, self._last + passed / 2)
         self._last, self._at = max(stamp, self._last + STEP), monotonic
         if self._begun:
-            self._second = max(self._second, floor(self._last))
+            self._second = max(self._second, floor(self._last + EARLY))
         self._begun = True
         return self._last, self._second
