Keep a route's bookkeeping to what the route uses

Cause: one route cost 9 to 10% of a request's CPU, whatever the number of routes: a percentile's sketch, a second budget and a list were kept for routes that name neither. Change: times are kept only for a percentile, the copies' budget only for a share, the queue is asked only while someone waits, and facts are a tuple.

--- a/dockthread/routes/bounds.py
+++ b/dockthread/routes/bounds.py
@@ -13,7 +13,7 @@
 
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ddsketch import LogCollapsingLowestDenseDDSketch
 
@@ -91,14 +91,14 @@
 class Bounds:
     """One request's, from its arrival to its final answer."""
 
-    __slots__ = ("_copied", "_entered", "_facts", "_generation", "_rules", "_since", "_spent", "_table", "copied")
+    __slots__ = ("_copied", "_entered", "_facts", "_generation", "_rules", "_since", "_spent", "_table")
 
     def __init__(self, table: Table, facts: Facts, rules: Rules, spent: Spent) -> None:
         self._table, self._facts, self._rules, self._spent = table, facts, rules, spent
         self._generation = table.generation
         self._entered = False
         self._since = 0.0
-        self._copied: set[int] = set()  # attempts that were copies
+        self._copied: tuple[int, ...] = ()  # attempts that were copies
         spent.open += 1
         spent.requests += 1
 
@@ -170,22 +170,24 @@
         """The request is finished; who goes inside in its place."""
         spent = self._spent
         spent.open -= 1
+        if self._table.dropped:
+            self._table.forget_idle()
         if not self._entered:
             spent.queue.leave(request)
             return []
         spent.limit.inside -= 1
-        found = []
-        while spent.limit.room and (following := spent.queue.take()) is not None:
+        found: list[int] = []
+        while spent.queue and spent.limit.room and (following := spent.queue.take()) is not None:
             spent.limit.inside += 1
             found.append(following)
-        self._table.forget_idle()
         return found
 
     def sent(self, number: int, now: float) -> None:
         """An attempt was sent."""
         self._spent.attempts += 1
         if number == 0:
-            self._spent.copy_budget.first(now)
+            if self._rules.copy_share < 1.0:
+                self._spent.copy_budget.first(now)
             if self._spent.budget is not None:
                 self._spent.budget.first(now)
 
@@ -208,7 +210,7 @@
             return False
         if not self._draw(now):
             return False
-        self._copied.add(sent)
+        self._copied = (*self._copied, sent)
         self._spent.copies += 1
         return True
 
@@ -237,7 +239,8 @@
     def ended(self, number: int, outcome: Outcome, took: float, now: float) -> None:
         spent = self._spent
         if outcome is Outcome.OK:
-            spent.took(took)
+            if self._rules.copy_percentile:
+                spent.took(took)
             spent.limit.answered(took, now)
             spent.copies_won += number in self._copied
         elif outcome in (Outcome.FULL, Outcome.TIMEOUT):
@@ -251,8 +254,7 @@
         return False
 
 
-@dataclass(frozen=True, slots=True)
-class Facts:
+class Facts(NamedTuple):
     """What of a request routes can match."""
 
     request_class: int
--- a/dockthread/routes/table.py
+++ b/dockthread/routes/table.py
@@ -151,7 +151,7 @@
         self._index: dict[tuple[int, int, bool, bool, int], _Listed] = {}
         self._default = Rules(DEFAULT)
         self.spent: dict[str, Any] = {}  # of Spent, by name
-        self._dropped: set[str] = set()
+        self.dropped: set[str] = set()
 
     def __bool__(self) -> bool:
         return bool(self._matchers)
@@ -164,7 +164,7 @@
         for matcher in found:
             name = matcher.rules.name
             self._spend(name, routes[name], now)
-        self._dropped = self.spent.keys() - {m.rules.name for m in found} - {DEFAULT}
+        self.dropped = self.spent.keys() - {m.rules.name for m in found} - {DEFAULT}
         self.forget_idle()
 
     def _spend(self, name: str, o: RouteOptions, now: float) -> None:
@@ -187,10 +187,10 @@
 
     def forget_idle(self) -> None:
         """Let go of routes that are gone and have no request left."""
-        if self._dropped:
-            for name in [n for n in self._dropped if not self.spent[n].open]:
+        if self.dropped:
+            for name in [n for n in self.dropped if not self.spent[n].open]:
                 del self.spent[name]
-                self._dropped.discard(name)
+                self.dropped.discard(name)
 
     def find(self, facts: Facts) -> Matcher | None:
         key = (facts.request_class, facts.plan, facts.write, facts.retry, facts.units)
