Commit the log's package, which an ignore rule for run logs had kept out

Cause: .gitignore named logs/ at any depth, so dockthread/logs was on the machine and in no commit; a fresh clone could not import the daemon. Seen in a clean checkout's checks.

--- /dev/null
+++ b/dockthread/logs/__init__.py
@@ -0,0 +1,1 @@
+"""The log: its options, and how it is set up."""
