Say once what was said twice: sockets of links, reading at a reload, addresses

Seen on reading the whole change: three links to receivers each kept and closed a socket alike, a reload read the platform's JSON twice and handled its faults in two places, an address was parsed beside Address.parse, and check imported msgspec inside a function. Change: one base for the links, one path for a reload with a file and without (the file is now taken over with the settings it was proved against), Address.parse in both.

--- a/dockthread/routes/check.py
+++ b/dockthread/routes/check.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterator, Mapping
 from difflib import get_close_matches
 
+import msgspec
+
 from dockthread import api
 from dockthread.api import Effect, Group, Outcome
 from dockthread.operator_file.quantities import Duration
@@ -60,8 +62,6 @@
 
 def _everywhere(route: RouteOptions) -> RouteOptions:
     """A route of another hall is checked as one of this: the file is shared by all ingresses."""
-    import msgspec
-
     return msgspec.structs.replace(route, hall=())
 
 
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -80,39 +80,27 @@
     def reload(self) -> None:
         """SIGHUP: read both files again. Where either is bad, nothing changes. One that comes while files are being
         read has them read once more."""
-        if self._file is None:
-            self._take_over(None)
-            return
         self._asked_again = True
         if self._reloading is None or self._reloading.done():
-            self._reloading = asyncio.get_running_loop().create_task(self._reload(self._file))
+            self._reloading = asyncio.get_running_loop().create_task(self._reload())
 
-    async def _reload(self, file: str) -> None:
+    async def _reload(self) -> None:
         """A thousand routes take half a second to prove: that is done in a thread, and answers go on."""
-        from dockthread.sections import load
-
         while self._asked_again:
             self._asked_again = False
             try:
                 config = reread_config(os.environ)
-                read = await asyncio.to_thread(load, file, config.module, config.names)
+                if self._file is not None:
+                    from dockthread.sections import load
+
+                    self._apply(await asyncio.to_thread(load, self._file, config.module, config.names))
             except SettingsError as error:
                 logger.warning("the old configuration stays: {}", error)
                 continue
-            self._take_over(read)
-
-    def _take_over(self, read: Read | None) -> None:
-        try:
-            config = reread_config(os.environ)
-            if read is not None:
-                self._apply(read)
-        except SettingsError as error:
-            logger.warning("the old configuration stays: {}", error)
-            return
-        self.ingress.reconfigure(config)
-        logger.info(
-            "configuration read again: discovery at {}, counter at {}", config.discovery, config.counter
-        )
+            self.ingress.reconfigure(config)
+            logger.info(
+                "configuration read again: discovery at {}, counter at {}", config.discovery, config.counter
+            )
 
 
 async def _serve(config: Config, file: str | None, read: Read | None) -> None:
--- a/dockthread/telemetry/links.py
+++ b/dockthread/telemetry/links.py
@@ -28,12 +28,25 @@
     def close(self) -> None: ...
 
 
-class Stream:
+class Socketed:
+    """One socket, or none. Nothing is left to finish where the other end tells what it took, or tells nothing."""
+
+    _sock: socket.socket | None = None
+
+    async def finish(self) -> None:
+        pass
+
+    def close(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+
+class Stream(Socketed):
     """A byte stream to Graphite, which never answers."""
 
     def __init__(self, host: str, port: int) -> None:
         self._host, self._port = host, port
-        self._sock: socket.socket | None = None
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -68,18 +81,12 @@
         while await asyncio.get_running_loop().sock_recv(sock, 4096):
             pass
 
-    def close(self) -> None:
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
-
 
-class Datagrams:
+class Datagrams(Socketed):
     """Packets to collectd's network plugin, which never answers; the kernel tells of a port nobody holds."""
 
     def __init__(self, host: str, port: int) -> None:
         self._host, self._port = host, port
-        self._sock: socket.socket | None = None
 
     async def open(self) -> None:
         loop = asyncio.get_running_loop()
@@ -104,21 +111,13 @@
         if code := sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             raise OSError(code, "the receiver's machine refused the packets")
 
-    async def finish(self) -> None:
-        pass
-
-    def close(self) -> None:
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
 
 
-class UnixCommands:
+class UnixCommands(Socketed):
     """Lines to collectd's unixsock plugin, each of which it answers: a report is over when all are."""
 
     def __init__(self, path: str) -> None:
         self._path = path
-        self._sock: socket.socket | None = None
         self.refused = 0  # lines that collectd would not take
 
     async def open(self) -> None:
@@ -140,11 +139,3 @@
             except ValueError as error:
                 raise ConnectionAbortedError(str(error)) from error
         self.refused += answers.refused
-
-    async def finish(self) -> None:
-        pass
-
-    def close(self) -> None:
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
--- a/dockthread/telemetry/options.py
+++ b/dockthread/telemetry/options.py
@@ -7,6 +7,7 @@
 
 from dockthread.operator_file.quantities import Duration, Size
 from dockthread.operator_file.reader import Section
+from dockthread.settings import Address, SettingsError
 
 LEAST_INTERVAL, MOST_INTERVAL = Duration(100), Duration(3_600_000)
 LEAST_QUEUE = Size(16 * 1024)
@@ -86,11 +87,13 @@
 
 def host_port(text: str) -> tuple[str, int] | None:
     """`HOST:PORT` or `[V6]:PORT`; None for what is neither."""
-    host, _, port = text.rpartition(":")
-    host = host.strip("[]")
-    if not host or any(c.isspace() for c in host) or not port.isdecimal() or not 0 < int(port) < 65536:
+    try:
+        found = Address.parse(text)
+    except SettingsError:
         return None
-    return host, int(port)
+    if not found.port or any(c.isspace() for c in found.host):
+        return None
+    return found.host, found.port
 
 
 def _address_faults(text: str, unix: bool) -> Faults:
