Spread watches over the fleet's size, so that an overbooked discovery serves them

Ruled out: discovery down. Change: dockthread/backoff.py, full jitter with an end of 250 ms for each ingress, doubled once; half of it before a life's first call where a list is known. At TRACE, the observer's seam writes single events.

--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -14,7 +14,9 @@
 from loguru import logger
 
 from dockthread import api
+from dockthread.backoff import Backoff
 from dockthread.clock import Clock
+from dockthread.observer import Observer
 from dockthread.settings import Address, Names, SettingsError
 
 STATES = {
@@ -25,7 +27,6 @@
 MOST_LINE = 4 * 1024 * 1024  # bytes of one line of a watch
 SILENCE = 3_500.0  # a watch says something every 2 s; one silent for longer is dead
 KEPT = 60_000.0  # for which a destination that is gone is known: no call to it can be out by then
-RETRY = 250.0  # from the end of a watch to the next
 
 
 class WatchError(Exception):
@@ -63,6 +64,14 @@
         self.revision = 0
         self.moved: Callable[[Destination], None] = lambda destination: None
 
+    def uid(self, worker: int) -> str:
+        return self.by_worker[worker].uid if worker in self.by_worker else "-"
+
+    def age(self, worker: int) -> int:
+        """Milliseconds since its start, as far as told; -1 for long ago."""
+        known = self.by_worker.get(worker)
+        return round(self._clock.now() - known.started) if known and known.started else -1
+
     def active(self, worker: int) -> bool:
         return worker in self.by_worker and self.by_worker[worker].active
 
@@ -169,13 +178,20 @@
     """Holds a watch on discovery for as long as it runs; starts another whenever one ends or goes silent."""
 
     def __init__(
-        self, address: Address, destinations: DestinationSet, clock: Clock, told: Callable[[Any], None]
+        self,
+        address: Address,
+        destinations: DestinationSet,
+        clock: Clock,
+        told: Callable[[Any], None],
+        backoff: Backoff,
     ) -> None:
+        self._backoff = backoff
         self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
         self._heard = clock.now()
         self._attempt: asyncio.Task[None] | None = None
         self._moved = asyncio.Event()
         self._failures = 0
+        self.observer = Observer()
 
     def move(self, address: Address) -> None:
         """Watch discovery at another address, and at once: the old one soon falls silent."""
@@ -185,20 +201,28 @@
             if self._attempt is not None:
                 self._attempt.cancel()
 
+    async def _pause(self, ms: float) -> None:
+        """Cut short by a move: the old address says nothing more."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._moved.wait(), ms / 1000.0)
+
     async def run(self) -> None:
+        if self._destinations.by_worker:  # what it knows serves meanwhile
+            await self._pause(self._backoff.start())
         while True:
             self._heard = self._clock.now()
             self._moved.clear()
+            self.observer.event("watch", after=self._destinations.revision)
             self._attempt = asyncio.create_task(self._watch())
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
             if self._moved.is_set():
                 continue
             self._failures += 1
+            self.observer.event("watch-end", why=type(failure).__name__, text=str(failure).replace(" ", "_")[:60])
             # One line for each loss of discovery, not one for each try.
             log = logger.warning if self._failures == 1 else logger.debug
             log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._moved.wait(), RETRY / 1000.0)
+            await self._pause(self._backoff.again())
 
     def check(self) -> None:
         """End a watch that has gone silent: its machine may have vanished, which TCP does not tell."""
@@ -220,6 +244,9 @@
                 self._heard = self._clock.now()
                 for message in parser.feed(memoryview(buffer)[:size]):
                     self._told(message)
+                    size = len(message["targets"])
+                    self.observer.event("list", all=message.get("all"), size=size, rev=message["rev"])
+                    self._backoff.reset()
                     if self._failures:
                         logger.info("watch on discovery is back at {}", self._destinations.revision)
                         self._failures = 0
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import random
 import resource
 import socket
 from collections import deque
@@ -16,6 +17,7 @@
 from loguru import logger
 
 from dockthread import api
+from dockthread.backoff import Backoff
 from dockthread.clock import Clock
 from dockthread.net import resp
 from dockthread.net.counter import Counter
@@ -125,7 +127,8 @@
             traffic=self.traffic,
         )
         self.destinations.moved = self.outbound.forget
-        self.watch = Watch(config.discovery, self.destinations, clock, self._listed)
+        backoff = Backoff(random.Random(config.seed), config.module.gateways)
+        self.watch = Watch(config.discovery, self.destinations, clock, self._listed, backoff)
         self.counter = Counter(
             config.counter,
             clock,
@@ -167,7 +170,7 @@
 
     def observe(self, observer: Observer) -> None:
         """Have another observer told from now on."""
-        self.observer = self.counter.observer = observer
+        self.observer = self.counter.observer = self.outbound.observer = self.watch.observer = observer
         self.lifecycle.entered = observer.phase
 
     def stop(self) -> None:
@@ -465,6 +468,14 @@
         first = reply.outcome is api.Outcome.OK and not request.finished
         if self.observer.active:
             self.observer.call_ended(reply.outcome)
+        if self.observer.tracing:
+            self.observer.event(
+                "ended",
+                node=self.destinations.uid(call.worker),
+                outcome=reply.outcome.value.replace(" ", "-"),
+                took=round(self.clock.now() - call.started, 1),
+                load=",".join(f"{figure:.4g}" for figure in reply.load) or "-",
+            )
         if first:
             self._answer(request, resp.served(reply.value), SERVED)
         self._tell(
@@ -504,6 +515,10 @@
         self.traffic.copies += request.out > 0
         request.calls.append(call)
         request.out += 1
+        if self.observer.tracing:
+            age = self.destinations.age(call.worker)
+            uid = self.destinations.uid(call.worker)
+            self.observer.event("call", node=uid, number=call.number, kind=request.ask.request_class, age=age)
         if due < request.deadline - 1.0:  # at its deadline a request ends its calls itself
             self.at(due, self.outbound.give_up, call, api.Outcome.TIMEOUT)
         if request.finished:
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -13,7 +13,7 @@
 from dockthread.clock import Clock
 from dockthread.net import resp
 from dockthread.net.destination_set import Destination, DestinationSet
-from dockthread.observer import Traffic
+from dockthread.observer import Observer, Traffic
 
 BUFFER = 16 * 1024
 WHOLE = 200.0  # for the rest of an answer that has begun: backends write one at once
@@ -82,6 +82,7 @@
         traffic: Traffic | None = None,
     ) -> None:
         self._traffic = traffic or Traffic()
+        self.observer = Observer()
         self._destinations, self._clock, self._replies = destinations, clock, replies
         self._ended, self._at, self._most = ended, at, most
         self._keep, self._connect_timeout = conn_idle * IDLE_PART, connect_timeout
@@ -119,6 +120,8 @@
             return
         call.connection = connection
         self._traffic.nodes_opened += 1
+        if self.observer.tracing:
+            self.observer.event("open", node=destination.uid, stand=len(self._connections))
         self._connections.add(connection)
         connection.task = self._loop.create_task(self._run(connection))
         self._at(call.started + self._connect_timeout, self._connect_timed_out, connection, call)
@@ -171,6 +174,8 @@
 
     def _connect_timed_out(self, connection: Connection, call: OutboundCall) -> None:
         if not connection.up and call.outcome is None:
+            if self.observer.tracing:
+                self.observer.event("connect", node=connection.destination.uid, end="timeout")
             self.give_up(call, Outcome.UNREACHABLE)
 
     async def _run(self, connection: Connection) -> None:
@@ -179,6 +184,8 @@
             endpoint = connection.endpoint
             await self._loop.sock_connect(connection.sock, (endpoint.host, endpoint.port))
             connection.up = True
+            if self.observer.tracing:
+                self.observer.event("connect", node=connection.destination.uid, end="up")
             buffer = bytearray(BUFFER)
             while call := connection.call:
                 if not await self._carry(connection, call, buffer):
@@ -186,6 +193,8 @@
         except Exception as error:
             if not isinstance(error, OSError):
                 logger.exception("an outbound connection failed")
+            if self.observer.tracing and not connection.up:
+                self.observer.event("connect", node=connection.destination.uid, end=type(error).__name__)
             # Broken before the last byte was written: the backend cannot have begun it. After: it may have.
             if call is not None:
                 self._end(call, Outcome.RESET if call.written else Outcome.UNREACHABLE)
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -38,6 +38,7 @@
     """Times in milliseconds; classes and plans by the module's numbers. No method may raise."""
 
     active = False  # the ingress asks before it works out what it would tell
+    tracing = False  # whether single events are wanted, by `event`
 
     def answered(
         self,
@@ -64,3 +65,6 @@
 
     def phase(self, name: str) -> None:
         """The ingress entered a phase."""
+
+    def event(self, what: str, **figures: object) -> None:
+        """One event that is counted nowhere else: told only where `tracing`."""
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -33,9 +33,13 @@
 class Daemon:
     """One ingress and what runs beside it. `file`: the operator's, or None."""
 
-    def __init__(self, config: Config, file: str | None, read: Read | None) -> None:
+    def __init__(self, config: Config, file: str | None, read: Read | None, trace: bool = False) -> None:
         self._file = file
         self.ingress = Ingress(config, Clock())
+        if trace:
+            from dockthread.logs.trace import Tracer
+
+            self.ingress.observe(Tracer())
         self._exporter: Exporter | None = None
         self._routes: Table | None = None
         self._applied: dict[str, object] = {}
@@ -103,8 +107,8 @@
             )
 
 
-async def _serve(config: Config, file: str | None, read: Read | None) -> None:
-    daemon = Daemon(config, file, read)
+async def _serve(config: Config, file: str | None, read: Read | None, trace: bool) -> None:
+    daemon = Daemon(config, file, read, trace)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, daemon.ingress.stop)
@@ -133,7 +137,7 @@
         level = os.environ.get("DOCKTHREAD_LOG") or (log.level if log else "INFO")
         set_up(level.upper(), log, ingress=config.name)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(config, file, read))
+            runner.run(_serve(config, file, read, level.upper() == "TRACE"))
         signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the interpreter's end, too, gives defaults back
     except (SettingsError, WatchError) as error:
         print(f"dockthread: {error}", file=sys.stderr)
