Believe of a node what its kind shows, and weigh failures by the fleet's size

Change: belief.py (pace shrunk to the kind's, usual times clipped, others by kind), Worker.hear smooths by time, blame and its fading grow with the square root of gateways / 3, cold nodes weigh by warmth and a cold one drawn is not held to it twice, cost is (load + 1) * pace. A start and a lost watch ask again within half of a drain's grace.

--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -7,17 +7,19 @@
 
 from dockthread import api
 from dockthread.api import Effect, Outcome
+from dockthread.belief import MOST_PACE, smoothed
 from dockthread.choice import Choice
 from dockthread.state import Attempt, Call
 
 FAIL_STEP, SLOW_STEP, SMOOTH = 0.25, 0.12, 0.05  # weights of one more in smoothed figures
+FEW = 3.0  # gateways for which these, and the times that evidence lasts, were set
+LATEST = 1.5  # tight aims: the latest that one answer can tell of the moment
 SUSPECTED = 0.35  # failed part of a worker that asks for copies
 FULL_FOR, FULL_MOST = 0.2, 3.0  # s for which a worker that turned an attempt away is full; doubled, at most
 LATE_DEVIATIONS = 4.0  # an answer missing for the usual time and so many usual deviations is late
 DONE_OVER, MOST_CHANCE = 4.0, 5  # fall times over which answers are averaged; attempts out that say nothing
 HALF = 0.45  # part of its time after which a request that no worker could be given ends
 PRESSED, ADVICE = 0.5, 0.25  # of a class's aim: expected wait that refuses; wait advised to the refused
-PACE_STEP, MOST_PACE = 0.05, 4.0  # weight of one more answer in a worker's pace; the slowest that counts
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 TICK = 0.25  # s between rounds of housekeeping
 
@@ -28,6 +30,9 @@
         self.inflight = settings.load_names.index("rif") if "rif" in settings.load_names else -1
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
+        # One failure tells the more, and for the longer, the fewer answers of a worker each gateway sees: a
+        # worker that fails at once costs each of them as many requests as it takes to be told.
+        self.blame = 1 - (1 - FAIL_STEP) ** max(1.0, math.sqrt(settings.gateways / FEW))
 
     def _survey(self) -> None:
         ready = [w for w in self.workers.values() if w.ready]
@@ -90,13 +95,13 @@
             w.failed -= FAIL_STEP * w.failed
             w.full_for = 0.0
             self.done += 1
-            self.slow += SLOW_STEP * (e.took - self.slow)
+            self.slow += SLOW_STEP * (min(e.took, LATEST * self.tight) - self.slow)
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
             self.slow += FAIL_STEP * (self.tight - self.slow)
             w.full_for = max(FULL_FOR, min(2 * w.full_for, FULL_MOST))
             w.full_until[c.plan] = self.now + w.full_for
         elif e.outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
-            w.failed += FAIL_STEP * (1 - w.failed)
+            w.failed += self.blame * (1 - w.failed)
         if call is None:
             return
         attempt = call.attempts[e.attempt]
@@ -105,9 +110,9 @@
             call.ask.route.ended(e.attempt, e.outcome, e.took, self.now)
         if e.outcome is Outcome.OK:
             usual, deviation = self.usual[call.ask.request_class]
-            w.pace += PACE_STEP * (min(MOST_PACE, e.took / usual) - w.pace)
-            deviation += SMOOTH * (abs(e.took - usual) - deviation)
-            self.usual[call.ask.request_class] = (usual + SMOOTH * (e.took - usual), deviation)
+            w.times.answered(pace := min(MOST_PACE, e.took / usual))
+            w.kin.answered(pace)
+            self.usual[call.ask.request_class] = smoothed(usual, deviation, e.took, SMOOTH)
         if self.s.settles_units and e.true_units:
             more_units = e.true_units - call.ask.units
             c.level, c.spent = c.level - more_units, c.spent + more_units
--- a/dockthread/backoff.py
+++ b/dockthread/backoff.py
@@ -3,9 +3,11 @@
 Theory of operation. One ingress that asks again after a fixed pause is harmless. Forty that lost the same
 service in the same instant ask it again in the same instant, for ever; and a service that works in turn, also on
 calls whose caller has left, then serves none in time (seen: 13 s without an answered call, at 7 a second). So
-each pause is drawn evenly from 0 to an end that grows with the number of ingresses, `PART` for each, and doubles
-with a second failure in a row. Whatever the fleet's size, when all lose the service at once and all fail from then
-on, the sum over it is about 1 / PART new calls a second. A start draws from half of that: its list may be old.
+each pause after a call that failed is drawn evenly from 0 to an end that grows with the number of ingresses, `PART`
+for each, and doubles with a second failure in a row. Whatever the fleet's size, when all fail from then on, the sum
+over it is about 1 / PART new calls a second. A start and the loss of a watch that stood cannot wait that long: what
+the agent has meanwhile counts as told, and a node that drains may be sent to for only so long after it. They draw
+from `hurry`, and those that the service turns away then are spread over the long pauses.
 """
 
 from __future__ import annotations
@@ -20,17 +22,18 @@
 class Backoff:
     """Pauses in milliseconds of one ingress among `fleet`. `rng`: of its own seed, so that no two draw alike."""
 
-    def __init__(self, rng: random.Random, fleet: int) -> None:
+    def __init__(self, rng: random.Random, fleet: int, hurry: float = 500.0) -> None:
         self._rng = rng
         self.first = PART * max(1, fleet)
+        self._hurry = min(hurry, self.first / 2)
         self._failures = 0
 
-    def start(self) -> float:
-        """Before the first call of a life."""
-        return self._rng.uniform(0.0, self.first / 2)
+    def soon(self) -> float:
+        """Before the first call of a life, and after the loss of what was held."""
+        return self._rng.uniform(0.0, self._hurry)
 
     def again(self) -> float:
-        """After one more failure in a row, the loss of what was held included."""
+        """After one more call in a row that failed."""
         end = self.first * min(MOST, 2.0**self._failures)
         self._failures = min(self._failures + 1, 30)
         return max(LEAST, self._rng.uniform(0.0, end))
--- /dev/null
+++ b/dockthread/belief.py
@@ -0,0 +1,58 @@
+"""What a gateway believes of workers from few answers. Decides nothing.
+
+Theory of operation. With many gateways each sees little of any worker: some three answers a minute, where three
+gateways saw a hundred. A figure smoothed from nothing with a small step never leaves its start then, and a report
+is old before the next comes. So what is believed of one worker leans on what is known of its kind (`Kin`): the mean
+of one worker's few answers is drawn towards its kind's by a fixed number of imagined answers (shrinkage), and counts
+alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of is
+as busy as the others, and not a free one that draws all.
+"""
+
+from __future__ import annotations
+
+IMAGINED = 2.0  # answers like its kind's that a worker is taken to have given
+MOST_PACE = 8.0  # the slowest answer that counts, in usual ones
+PACE_STEP, KIN_STEP = 0.05, 0.05  # least weight of one more answer in a worker's figures; in its kind's
+CLIPPED = 3.0  # deviations beyond the usual time that one answer can tell
+
+
+class Kin:
+    """What the workers of one kind have in common: answer time in usual ones, requests of others there."""
+
+    __slots__ = ("others", "pace", "reports", "seen")
+
+    def __init__(self) -> None:
+        self.pace, self.seen = 1.0, 0
+        self.others, self.reports = 0.0, 0
+
+    def answered(self, pace: float) -> None:
+        self.seen += 1
+        self.pace += max(KIN_STEP, 1 / self.seen) * (pace - self.pace)
+
+    def reported(self, others: float) -> None:
+        self.reports += 1
+        self.others += max(KIN_STEP, 1 / self.reports) * (others - self.others)
+
+
+class Pace:
+    """One worker's answer time in usual ones, leaning on its kind's."""
+
+    __slots__ = ("mean", "seen")
+
+    def __init__(self) -> None:
+        self.mean, self.seen = 1.0, 0.0
+
+    def answered(self, pace: float) -> None:
+        self.seen = min(self.seen + 1, 1 / PACE_STEP)
+        self.mean += (pace - self.mean) / self.seen
+
+    def believed(self, kin: Kin) -> float:
+        return (IMAGINED * kin.pace + self.seen * self.mean) / (IMAGINED + self.seen)
+
+
+def smoothed(usual: float, deviation: float, took: float, step: float) -> tuple[float, float]:
+    """The usual time and its deviation after one more answer. One that took far longer, at a worker that is ill, is
+    clipped: it would make all that come late later look usual."""
+    took = min(took, usual + CLIPPED * max(deviation, usual / 4))
+    deviation += step * (abs(took - usual) - deviation)
+    return usual + step * (took - usual), deviation
--- a/dockthread/choice.py
+++ b/dockthread/choice.py
@@ -9,6 +9,7 @@
 from dockthread.state import NEVER, Call, Worker
 
 CHOICES, HOME, TRIALS = 4, 2.0, 0.1  # candidates a gateway; draws of the own zone; root of a bad one's share
+ABOUT = 0.05  # part by which believed costs may differ and be alike: within it, chance decides
 
 
 class Choice(Routed):
@@ -27,21 +28,28 @@
             drawn = self.rng.choices(ready, cum_weights=sums, k=count)
             free = [w for i, w in enumerate(drawn) if self._fits(w, call, i == 0 and not call.attempts)]
             if free := [w for w in free if w.entry.worker not in used]:
-                return min(free, key=lambda w: w.load(self.now) * w.pace / self._share(w))
+                return min(free, key=self._cost)
         # Full, or draining unannounced: its emptiness would draw all. When all are, only first attempts go.
         roomy = [w for w in ready if self._fits(w, call, not self.warm)]
         ready = roomy if roomy or call.attempts else [w for w in ready if w.ready]
         ready = [w for w in ready if w.entry.worker not in used] or ([] if ran else ready)
         return self.rng.choices(ready, [self._share(w) for w in ready])[0] if ready else None
 
+    def _cost(self, w: Worker) -> float:
+        """Time that one more there would take, by what is believed; among like ones chance decides."""
+        return (w.load(self.now) + 1) * w.pace / self._sound(w) * self.rng.uniform(1, 1 + ABOUT)
+
     def _fits(self, w: Worker, call: Call, cold: bool) -> bool:
         if not w.ready or self.now < w.full_until.get(call.ask.plan, NEVER):
             return False
         return cold or self._warmth(w) >= 1.0
 
     def _share(self, w: Worker) -> float:
+        return self._sound(w) * self._warmth(w)
+
+    def _sound(self, w: Worker) -> float:
         near = HOME if w.entry.zone == self.s.zone and self.s.prices.cross_zone else 1.0
-        return near * max(w.entry.weight, 1e-6) * self._warmth(w) ** 2 * max(1 - w.failed, TRIALS) ** 2
+        return near * max(w.entry.weight, 1e-6) * max(1 - w.failed, TRIALS) ** 2
 
     def _warmth(self, w: Worker) -> float:
         s = self.s.safety
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -191,6 +191,7 @@
         self._attempt: asyncio.Task[None] | None = None
         self._moved = asyncio.Event()
         self._failures = 0
+        self._stood = False  # the present watch has said something
         self.observer = Observer()
 
     def move(self, address: Address) -> None:
@@ -208,9 +209,9 @@
 
     async def run(self) -> None:
         if self._destinations.by_worker:  # what it knows serves meanwhile
-            await self._pause(self._backoff.start())
+            await self._pause(self._backoff.soon())
         while True:
-            self._heard = self._clock.now()
+            self._heard, self._stood = self._clock.now(), False
             self._moved.clear()
             self.observer.event("watch", after=self._destinations.revision)
             self._attempt = asyncio.create_task(self._watch())
@@ -222,7 +223,7 @@
             # One line for each loss of discovery, not one for each try.
             log = logger.warning if self._failures == 1 else logger.debug
             log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
-            await self._pause(self._backoff.again())
+            await self._pause(self._backoff.soon() if self._stood else self._backoff.again())
 
     def check(self) -> None:
         """End a watch that has gone silent: its machine may have vanished, which TCP does not tell."""
@@ -247,6 +248,7 @@
                     size = len(message["targets"])
                     self.observer.event("list", all=message.get("all"), size=size, rev=message["rev"])
                     self._backoff.reset()
+                    self._stood = True
                     if self._failures:
                         logger.info("watch on discovery is back at {}", self._destinations.revision)
                         self._failures = 0
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -127,7 +127,8 @@
             traffic=self.traffic,
         )
         self.destinations.moved = self.outbound.forget
-        backoff = Backoff(random.Random(config.seed), config.module.gateways)
+        hurry = config.module.safety.drain_grace * 1000.0 / 2
+        backoff = Backoff(random.Random(config.seed), config.module.gateways, hurry)
         self.watch = Watch(config.discovery, self.destinations, clock, self._listed, backoff)
         self.counter = Counter(
             config.counter,
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -12,9 +12,11 @@
 from dockthread import api
 from dockthread.admission import Admission
 from dockthread.api import ListKind, WorkerState
-from dockthread.attempts import DONE_OVER, TICK
+from dockthread.attempts import DONE_OVER, FEW, TICK
+from dockthread.belief import Kin
 from dockthread.state import Customer, Worker
 
+PACE_HALF = 15.0  # s in which what its answer times told counts half
 FADE_HALF = 5.0  # s in which evidence against a worker halves, so that it returns
 MOOD_STEP = 0.25  # change of a customer's chance that is told
 
@@ -22,6 +24,7 @@
 class Gateway(Admission):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
+        self.fade = FADE_HALF * max(1.0, math.sqrt(settings.gateways / FEW))
         self.cheapest = min(k.worth for k in settings.classes)
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.RequestArrived: self._arrived, api.AttemptEnded: self._ended, api.WorkersListed: self._listed,
@@ -49,7 +52,8 @@
         self.done *= 1 - TICK / (DONE_OVER * self.s.safety.fall_time + TICK)
         self.slow *= 0.5 ** (TICK / self.tight)  # it tells of the moment: a jam that is gone must not refuse
         for w in self.workers.values():
-            w.failed *= 0.5 ** (TICK / FADE_HALF)
+            w.failed *= 0.5 ** (TICK / self.fade)
+            w.times.seen *= 0.5 ** (TICK / PACE_HALF)
         self.tidy()
         self._survey()
 
@@ -87,7 +91,8 @@
             for w in self.workers.values():
                 w.ready, w.gone = False, min(w.gone, self.now)
         for entry in e.entries:
-            w = self.workers.setdefault(entry.worker, Worker(entry))
+            kin = self.kin.setdefault(entry.kind, Kin())
+            w = self.workers.setdefault(entry.worker, Worker(entry, kin))
             self.codes[w.code] = w
             if entry.started > w.entry.started:
                 w.renew()
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -9,10 +9,11 @@
 from math import inf
 
 from dockthread import api
+from dockthread.belief import Kin, Pace
 from dockthread.message import Report, Word, whole, worker_code
 
 NEVER = -1e9  # a time long ago
-REPORTED, REPORT_HALF = 0.2, 0.4  # weight of one more report; s in which its news halves
+REPORT_HALF, MEAN_HALF = 0.4, 8.0  # s in which a report's news halves; in which what was smoothed before does
 TIDY, KEPT = 2.0, 30.0  # s between rounds of forgetting; for which a worker that is gone is kept
 IDLE, MANY = 120.0, 4096  # s after which customers whom peers may name are forgotten, once so many
 
@@ -39,7 +40,8 @@
 
 
 class Worker:
-    def __init__(self, entry: api.WorkerEntry) -> None:
+    def __init__(self, entry: api.WorkerEntry, kin: Kin) -> None:
+        self.kin = kin  # what is known of its kind
         self.entry, self.ready, self.out = entry, True, 0  # attempts out, late ones too
         self.gone = inf  # since when it is not listed
         self.code = worker_code(entry.worker)  # in messages
@@ -47,17 +49,25 @@
         self.answered = NEVER
         self.full_for = 0.0
         self.full_until: dict[int, float] = {}  # by plan
-        self.pace = 1.0  # smoothed answer time, in usual ones of its class
+        self.times = Pace()
         self.report: tuple[float, ...] = ()  # the last load report, since when it is known
         self.report_at = NEVER
-        self.others, self.others_mean = 0.0, 0.0  # other gateways' requests, by it and smoothed
+        # Other gateways' requests, by it and smoothed. One that started is empty, as far as known.
+        self.others = self.others_mean = 0.0 if entry.started else kin.others
+
+    @property
+    def pace(self) -> float:
+        """Answer time, in usual ones of its class."""
+        return self.times.believed(self.kin)
 
     def hear(self, report: tuple[float, ...], inflight: float, now: float) -> None:
         """Take over a load report. Every answer repeats the last one; only another one is news."""
         if report != self.report:
-            self.report, self.report_at = report, now
+            gap, self.report, self.report_at = now - self.report_at, report, now
             self.others = max(0.0, inflight - self.out - 1)  # the answered one was in there
-            self.others_mean += REPORTED * (self.others - self.others_mean)
+            # By time, not by report: where they are seldom, one says as much as many do.
+            self.others_mean += (1 - 0.5 ** (gap / MEAN_HALF)) * (self.others - self.others_mean)
+            self.kin.reported(self.others)
 
     def load(self, now: float) -> float:
         """Requests there: the own ones out, and others by a report that says the less, the older it is."""
@@ -67,7 +77,7 @@
     def renew(self) -> None:
         """A new process: what was known of the old one is void."""
         self.failed, self.answered, self.full_for, self.full_until = 0.0, NEVER, 0.0, {}
-        self.pace, self.others, self.others_mean = 1.0, 0.0, 0.0
+        self.times, self.others, self.others_mean = Pace(), 0.0, 0.0
 
 
 class Customer:
@@ -122,6 +132,7 @@
         self.held: dict[int, None] = {}  # requests for which there is no worker now
         self.owner: dict[tuple[int, int], int] = {}  # customers of the attempts out
         self.workers: dict[int, Worker] = {}
+        self.kin: dict[int, Kin] = {}  # by kind
         self.codes: dict[bytes, Worker] = {}
         self.pool: tuple[list[Worker], list[float]] = ([], [])  # to draw from, with summed chances
         self.warm = False  # whether there is a warm worker
