Take unheard nodes as busy as their kind, prefer idle connections, end free requests

A test of forty gateways showed why: nodes not heard of, listed before any report, stood at load 0 against 1 and more of the known ones, so each ingress went through all sixty. Change: Worker.load takes a node without a report at its kind's mean (a started one as empty); Choice._cost weighs a new connection by Prices.handshake; a free request only where spread x units stay within twice the burst.

--- a/dockthread/admission.py
+++ b/dockthread/admission.py
@@ -70,7 +70,8 @@
         age, left = self.now - c.heard, c.level - ask.units
         if left < 0 or age <= self.s.tick:
             return False
-        if c.rate <= max(plan.rate / c.spread, ask.units / sketch.window):
+        free = ask.units / sketch.window * (c.spread * ask.units <= 2 * plan.burst)  # one a window
+        if c.rate <= max(plan.rate / c.spread, free):
             return left < CLEAR * plan.burst
         return age > sketch.window or left - c.rest * age < CLEAR * plan.burst
 
--- a/dockthread/api.py
+++ b/dockthread/api.py
@@ -104,6 +104,7 @@
     probe: float = 0.0
     peer: float = 0.0
     late_fail: float = 0.0
+    handshake: float = 0.0  # of each new connection to a worker
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +129,7 @@
     meter_period: float = 0.0
     may_count: bool = False
     ahead: float = 0.0  # of this gateway's clock: what makes it the one that all gateways read
+    conn_idle: float = 15.0  # after which a worker closes an idle connection
     load_names: tuple[str, ...] = ()
     load_in_answers: bool = False
     must_ask_for_list: bool = False
--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -51,6 +51,7 @@
             return False
         del self.held[request]
         self.carry(worker, 1)
+        worker.spare = max(0, worker.spare - 1) * worker.linked(self.now - self.kept)
         self.owner[request, len(call.attempts)] = call.ask.customer
         call.attempts.append(Attempt(worker.entry.worker, self.now))
         self.customers[call.ask.customer].out += 1
@@ -93,7 +94,7 @@
         w.answered = self.now if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else w.answered
         if e.outcome is Outcome.OK:
             w.failed -= FAIL_STEP * w.failed
-            w.full_for = 0.0
+            w.full_for, w.spare, w.spare_at = 0.0, w.spare + 1, self.now
             self.done += 1
             self.slow += SLOW_STEP * (min(e.took, LATEST * self.tight) - self.slow)
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
--- a/dockthread/choice.py
+++ b/dockthread/choice.py
@@ -9,6 +9,7 @@
 from dockthread.state import NEVER, Call, Worker
 
 CHOICES, HOME, TRIALS = 4, 2.0, 0.1  # candidates a gateway; draws of the own zone; root of a bad one's share
+HANDSHAKE = 8.0  # requests' times that the price of a new connection is worth
 ABOUT = 0.05  # part by which believed costs may differ and be alike: within it, chance decides
 
 
@@ -37,7 +38,8 @@
 
     def _cost(self, w: Worker) -> float:
         """Time that one more there would take, by what is believed; among like ones chance decides."""
-        return (w.load(self.now) + 1) * w.pace / self._sound(w) * self.rng.uniform(1, 1 + ABOUT)
+        dearer = 1.0 if w.linked(self.now - self.kept) else 1 + HANDSHAKE * self.s.prices.handshake
+        return (w.load(self.now) + 1) * w.pace / self._sound(w) * dearer * self.rng.uniform(1, 1 + ABOUT)
 
     def _fits(self, w: Worker, call: Call, cold: bool) -> bool:
         if not w.ready or self.now < w.full_until.get(call.ask.plan, NEVER):
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -200,6 +200,8 @@
         """Serve until told to stop, then answer all that was taken."""
         listener = self._listen()
         self._tell(self.destinations.apply(self.config.known, cached=True))
+        for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
+            self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
         self._housekeeping()
         watching = self._loop.create_task(self.watch.run())
         accepting = self._loop.create_task(self._accept(listener))
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -50,10 +50,11 @@
         self.full_for = 0.0
         self.full_until: dict[int, float] = {}  # by plan
         self.times = Pace()
+        self.spare, self.spare_at = 0, NEVER  # connections left idle by its answers, and when the last was
         self.report: tuple[float, ...] = ()  # the last load report, since when it is known
         self.report_at = NEVER
-        # Other gateways' requests, by it and smoothed. One that started is empty, as far as known.
-        self.others = self.others_mean = 0.0 if entry.started else kin.others
+        self.fresh = bool(entry.started)  # it started not long ago: empty, until it says otherwise
+        self.others, self.others_mean = 0.0, 0.0  # other gateways' requests, by it and smoothed
 
     @property
     def pace(self) -> float:
@@ -71,13 +72,20 @@
 
     def load(self, now: float) -> float:
         """Requests there: the own ones out, and others by a report that says the less, the older it is."""
+        if self.report_at == NEVER:  # else those not met yet would draw all
+            return self.out + (0.0 if self.fresh else self.kin.others)
         weight: float = 0.5 ** ((now - self.report_at) / REPORT_HALF)
         return self.out + self.others_mean + weight * (self.others - self.others_mean)
 
+    def linked(self, since: float) -> bool:
+        """Whether a connection should stand idle there, left since then."""
+        return self.spare > 0 and self.spare_at > since
+
     def renew(self) -> None:
         """A new process: what was known of the old one is void."""
         self.failed, self.answered, self.full_for, self.full_until = 0.0, NEVER, 0.0, {}
         self.times, self.others, self.others_mean = Pace(), 0.0, 0.0
+        self.spare, self.fresh, self.report_at = 0, True, NEVER
 
 
 class Customer:
@@ -134,6 +142,7 @@
         self.workers: dict[int, Worker] = {}
         self.kin: dict[int, Kin] = {}  # by kind
         self.codes: dict[bytes, Worker] = {}
+        self.kept = settings.conn_idle / 2  # for which a connection may stand idle
         self.pool: tuple[list[Worker], list[float]] = ([], [])  # to draw from, with summed chances
         self.warm = False  # whether there is a warm worker
         self.slow, self.out, self.done = 0.0, 0, 0.0  # answer time of late; attempts out, not late; answers
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from heapq import heappop, heappush
 
 import pytest
@@ -93,6 +94,8 @@
         self.now, self.requests, self.came = 1_000.0, 0, dict.fromkeys((e.worker for e in entries), 0)
         self.takes: dict[int, float] = {}
         self.fails: set[int] = set()
+        self.idle: dict[tuple[int, int], float] = {}  # by gateway and worker, since when a connection is
+        self.opened = 0
         self.gateways = [Gateway(settings(gateways, n), n, self.now) for n in range(gateways)]
         self.say(api.WorkersListed(api.ListKind.FULL, tuple(entries)))
 
@@ -107,6 +110,9 @@
         number = 0
         while send := next((a for a in actions if isinstance(a, api.Send)), None):
             self.came[send.worker] += 1
+            link = (gateway.me, send.worker)
+            self.opened += self.idle.get(link, 0.0) < self.now - 7.5
+            self.idle[link] = self.now
             bad, took = send.worker in self.fails, self.takes.get(send.worker, 0.3)
             outcome = api.Outcome.ERROR if bad else api.Outcome.OK
             ended = api.AttemptEnded(
@@ -168,3 +174,30 @@
     for _ in range(300):
         usual, deviation = smoothed(usual, deviation, 1.2, 0.05)
     assert 1.1 < usual < 1.3, "a lasting change is followed"
+
+
+def test_a_firm_far_beyond_its_quota_gets_no_request_free_at_each_of_thirty_ingresses() -> None:
+    base = replace(settings(40), plans=(api.Plan(rate=1.0, burst=6.0),), may_count=True, ahead=35.0)
+    fleet = [Gateway(replace(base, number=n), n, 0.0) for n in range(40)]
+    now, total = 0.0, 0.0
+    for request in range(300):  # 5 a second for a minute, dealt out among thirty
+        now += 0.2
+        gateway = fleet[request * 7 % 30]
+        waiting = gateway.handle(now, api.RequestArrived(request, 0, 0, 7, 4.0, 1.0, 30, 0))
+        while waiting:
+            action = waiting.pop(0)
+            if isinstance(action, api.Count):
+                total += action.amount
+                waiting += gateway.handle(now, api.Counted(action.name, api.Outcome.OK, total))
+    assert total < 130, "66 are inside the quota; with a free one a window at each ingress it was 223"
+
+
+def test_a_new_connections_price_makes_idle_ones_worth_more() -> None:
+    def opened(price: float) -> int:
+        pool = Pool(40, listed(60))
+        for gateway in pool.gateways:
+            gateway.s = replace(gateway.s, prices=api.Prices(handshake=price))
+        pool.play(80)
+        return pool.opened
+
+    assert opened(0.08) < 0.8 * opened(0.0)
