--- a/dockthread/admission.py
+++ b/dockthread/admission.py
@@ -36,6 +36,7 @@
             if self._doubtful(ask, c, sketch):
                 self.calls[ask.request] = call
                 c.waiting.append(ask.request)
+                self.timer(call.deadline - 2 * self.s.tick, self._close, ask.request)  # it may not come
                 if c.calling is None:
                     self._call(ask.customer, c)
                 return
@@ -70,10 +71,10 @@
         age, left = self.now - c.heard, c.level - ask.units
         if left < 0 or age <= self.s.tick:
             return False
-        free = ask.units / sketch.window * (c.spread * ask.units <= 2 * plan.burst)  # one a window
-        if c.rate <= max(plan.rate / c.spread, free):
+        crowd = c.spread * ask.units > 2 * plan.burst  # where each lets in one unasked, all is gone
+        if c.rate <= max(plan.rate / c.spread, 0.0 if crowd else ask.units / sketch.window):
             return left < CLEAR * plan.burst
-        return age > sketch.window or left - c.rest * age < CLEAR * plan.burst
+        return crowd or age > sketch.window or left - c.rest * age < CLEAR * plan.burst
 
     def _call(self, key: int, c: Customer) -> None:
         epoch = int((self.now + self.s.ahead) / EPOCH) & 0xFFFFFF
--- a/dockthread/backoff.py
+++ b/dockthread/backoff.py
@@ -14,8 +14,8 @@
 
 import random
 
-PART = 250.0  # ms of the first end for each ingress: four calls a second over the fleet
-MOST = 2.0  # ends at the most, in first ends: with all failing, each then asks once in a first end on average
+PART = 125.0  # ms of the first end for each ingress: eight calls a second over the fleet, then four, then two
+MOST = 4.0  # ends at the most, in first ends
 LEAST = 10.0  # ms: a pause of nothing would be none
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -799,6 +799,15 @@
     assert drive.final[request] == ["refused"]
 
 
+def test_a_request_that_waits_for_the_counter_is_answered_in_its_time() -> None:
+    drive = Drive(SHARED)
+    spend(drive)  # a call is out, and its answer does not come
+    drive.next, drive.now = drive.next + 1, drive.now + 0.01
+    drive.give(api.RequestArrived(drive.next, SAFE, RATE, 7, 0.03, 1.0, 2, 0))
+    drive.run(drive.now + 0.03)
+    assert drive.final[drive.next] == ["refused"]
+
+
 def test_what_ran_over_a_full_store_covers_what_the_others_used_meanwhile() -> None:
     drive = Drive(SHARED)
     _, call = spend(drive)
