--- a/dockthread/backoff.py
+++ b/dockthread/backoff.py
@@ -4,10 +4,11 @@
 service in the same instant ask it again in the same instant, for ever; and a service that works in turn, also on
 calls whose caller has left, then serves none in time (seen: 13 s without an answered call, at 7 a second). So
 each pause after a call that failed is drawn evenly from 0 to an end that grows with the number of ingresses, `PART`
-for each, and doubles with a second failure in a row. Whatever the fleet's size, when all fail from then on, the sum
-over it is about 1 / PART new calls a second. A start and the loss of a watch that stood cannot wait that long: what
-the agent has meanwhile counts as told, and a node that drains may be sent to for only so long after it. They draw
-from `hurry`, and those that the service turns away then are spread over the long pauses.
+for each, and doubles with the second and the third failure in a row. Whatever the fleet's size, when all fail from
+then on, the sum over it is about 1 / PART new calls a second, then half, then a quarter of it. A start and the loss
+of a watch that stood cannot wait that long: what the agent has meanwhile counts as told, and a node that drains may
+be sent to for only so long after it. They draw from `hurry`, and those that the service turns away then are spread
+over the long pauses.
 """
 
 from __future__ import annotations
