Test that odd lists of nodes leave the ingress serving

Need: a list may name a node twice, or give a start that lies ahead of the clock. Change: a test; the code already serves from such a list, a node that has not started yet counting as cold. Measured: 200 of 200 requests sent on in the test.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,10 @@
 from dockthread import api
 from dockthread.backoff import PART, Backoff
 from dockthread.belief import smoothed
+from dockthread.clock import ManualClock
+from dockthread.net.destination_set import DestinationSet
 from dockthread.rules import Gateway
+from dockthread.settings import Names
 
 SERVICE, PATIENCE, ROOM = 130.0, 2_000.0, 24  # ms a call; ms it waits at most; calls that wait
 
@@ -229,3 +232,20 @@
     (klein,) = fleet_count.stores(found)
     assert (klein.sent, klein.beyond) == (3.0, 1.0), "the third finds 0.1 in a store that two ingresses emptied"
     assert klein.refused == {("ceiling", "half"): 1}
+
+
+def test_a_list_that_names_a_node_twice_or_started_in_the_future_is_served_from() -> None:
+    clock = ManualClock(1_000_000.0, 1_700_000_000_000.0)
+    destinations = DestinationSet(Names(("read",), ("free",), ("hall-a",), ("type-a",)), clock)
+    node = {"uid": "s-1", "endpoint": "127.0.0.1:1", "state": "active", "az": "hall-a", "model": "type-a"}
+    later = {**node, "uid": "s-2", "boot_ms": 1_700_000_000_000.0 + 60_000.0}
+    gateway = Gateway(settings(40), 1, 1_000.0)
+    gateway.handle(1_000.0, destinations.apply({"rev": 1, "all": True, "targets": [node, later, node]}))
+    assert sorted(destinations.by_worker) == [1, 2] and destinations.active(1)
+    sent = [
+        action.worker
+        for request in range(200)
+        for action in gateway.handle(1_000.0 + request, api.RequestArrived(request, 0, 0, 7, 4.0))
+        if isinstance(action, api.Send)
+    ]
+    assert len(sent) == 200 and sent.count(1) > sent.count(2), "one not started yet counts as cold, and no colder"
