Say once what was said twice: a request's timer, the fleet's scarcity, the idle part

Change: Memory.end_by sets one timer, belief.scarcity and api.IDLE_PART are the one place, Worker.take_link says what a clever product said. Decisions are the same.

--- a/benchmarks/fleet_count.py
+++ b/benchmarks/fleet_count.py
@@ -24,7 +24,6 @@
 @dataclass(slots=True)
 class Event:
     at: float  # s of the day
-    ingress: str
     what: str
     figures: dict[str, str]
 
@@ -47,7 +46,7 @@
     refused: Counter[tuple[str, str]] = field(default_factory=Counter)
 
 
-def events(lines: Iterable[str], ingress: str) -> Iterator[Event]:
+def events(lines: Iterable[str]) -> Iterator[Event]:
     """The trace lines among a log's; others, and half a line at a kill, are passed over."""
     for line in lines:
         parts = line.split()
@@ -58,7 +57,7 @@
             figures = dict(part.split("=", 1) for part in parts[5:])
         except ValueError:
             continue
-        yield Event(at, ingress, parts[4], figures)
+        yield Event(at, parts[4], figures)
 
 
 def label(event: Event) -> str | None:
@@ -134,7 +133,7 @@
     found: list[Event] = []
     for file in sorted(folder.glob("*.log")):
         with file.open(errors="replace") as lines:
-            found += events(lines, file.stem)
+            found += events(lines)
     return sorted(found, key=lambda event: event.at)
 
 
--- a/dockthread/admission.py
+++ b/dockthread/admission.py
@@ -36,7 +36,7 @@
             if self._doubtful(ask, c, sketch):
                 self.calls[ask.request] = call
                 c.waiting.append(ask.request)
-                self.timer(call.deadline - 2 * self.s.tick, self._close, ask.request)  # it may not come
+                self.end_by(ask.request, call, self._close)  # the counter's answer may not come
                 if c.calling is None:
                     self._call(ask.customer, c)
                 return
@@ -53,7 +53,7 @@
             self._refuse(ask.request, call.rules, self.why)
             return
         self.calls[ask.request] = call
-        self.timer(call.deadline - 2 * self.s.tick, self._close, ask.request)
+        self.end_by(ask.request, call, self._close)
         self._try(ask.request, call)
         plan = self.s.plans[ask.plan]
         if self.s.may_count and c.spread > 1 and (sketch := self.sketches[ask.plan]) is not None:
--- a/dockthread/api.py
+++ b/dockthread/api.py
@@ -107,6 +107,9 @@
     handshake: float = 0.0  # of each new connection to a worker
 
 
+IDLE_PART = 0.5  # of `Settings.conn_idle`, the latest at which a worker closes: when an ingress closes it itself
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     number: int
--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -7,12 +7,11 @@
 
 from dockthread import api
 from dockthread.api import Effect, Outcome
-from dockthread.belief import MOST_PACE, smoothed
+from dockthread.belief import MOST_PACE, scarcity, smoothed
 from dockthread.choice import Choice
 from dockthread.state import Attempt, Call
 
 FAIL_STEP, SLOW_STEP, SMOOTH = 0.25, 0.12, 0.05  # weights of one more in smoothed figures
-FEW = 3.0  # gateways for which these, and the times that evidence lasts, were set
 LATEST = 1.5  # tight aims: the latest that one answer can tell of the moment
 SUSPECTED = 0.35  # failed part of a worker that asks for copies
 FULL_FOR, FULL_MOST = 0.2, 3.0  # s for which a worker that turned an attempt away is full; doubled, at most
@@ -30,9 +29,7 @@
         self.inflight = settings.load_names.index("rif") if "rif" in settings.load_names else -1
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
-        # One failure tells the more, and for the longer, the fewer answers of a worker each gateway sees: a
-        # worker that fails at once costs each of them as many requests as it takes to be told.
-        self.blame = 1 - (1 - FAIL_STEP) ** max(1.0, math.sqrt(settings.gateways / FEW))
+        self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
 
     def _survey(self) -> None:
         ready = [w for w in self.workers.values() if w.ready]
@@ -51,7 +48,7 @@
             return False
         del self.held[request]
         self.carry(worker, 1)
-        worker.spare = max(0, worker.spare - 1) * worker.linked(self.now - self.kept)
+        worker.take_link(self.now - self.kept)
         self.owner[request, len(call.attempts)] = call.ask.customer
         call.attempts.append(Attempt(worker.entry.worker, self.now))
         self.customers[call.ask.customer].out += 1
--- a/dockthread/belief.py
+++ b/dockthread/belief.py
@@ -10,12 +10,21 @@
 
 from __future__ import annotations
 
+import math
+
 IMAGINED = 2.0  # answers like its kind's that a worker is taken to have given
 MOST_PACE = 8.0  # the slowest answer that counts, in usual ones
 PACE_STEP, KIN_STEP = 0.05, 0.05  # least weight of one more answer in a worker's figures; in its kind's
+FEW = 3.0  # gateways for which the weight of one failure, and the time that it lasts, were set
 CLIPPED = 3.0  # deviations beyond the usual time that one answer can tell
 
 
+def scarcity(gateways: int) -> float:
+    """How much more one failure tells, and for how much longer, where more gateways see fewer answers of a worker
+    each: one that fails at once costs each of them as many requests as it takes to be told."""
+    return max(1.0, math.sqrt(gateways / FEW))
+
+
 class Kin:
     """What the workers of one kind have in common: answer time in usual ones, requests of others there."""
 
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -9,6 +9,7 @@
 
 from loguru import logger
 
+from dockthread.api import IDLE_PART as IDLE_PART
 from dockthread.api import Outcome
 from dockthread.clock import Clock
 from dockthread.net import resp
@@ -17,7 +18,6 @@
 
 BUFFER = 16 * 1024
 WHOLE = 200.0  # for the rest of an answer that has begun: backends write one at once
-IDLE_PART = 0.5  # of `ConnIdle`, which is the latest at which a backend closes an idle connection
 
 
 class OutboundCall:
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -12,8 +12,8 @@
 from dockthread import api
 from dockthread.admission import Admission
 from dockthread.api import ListKind, WorkerState
-from dockthread.attempts import DONE_OVER, FEW, TICK
-from dockthread.belief import Kin
+from dockthread.attempts import DONE_OVER, TICK
+from dockthread.belief import Kin, scarcity
 from dockthread.state import Customer, Worker
 
 PACE_HALF = 15.0  # s in which what its answer times told counts half
@@ -24,7 +24,7 @@
 class Gateway(Admission):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.fade = FADE_HALF * max(1.0, math.sqrt(settings.gateways / FEW))
+        self.fade = FADE_HALF * scarcity(settings.gateways)
         self.cheapest = min(k.worth for k in settings.classes)
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.RequestArrived: self._arrived, api.AttemptEnded: self._ended, api.WorkersListed: self._listed,
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -34,6 +34,7 @@
     rules: api.RequestClass
     deadline: float
     attempts: list[Attempt] = field(default_factory=list)
+    timed: bool = False  # its deadline has a timer
 
     def ran(self) -> Attempt | None:
         return next((a for a in self.attempts if a.may_have_run), None)
@@ -81,6 +82,10 @@
         """Whether a connection should stand idle there, left since then."""
         return self.spare > 0 and self.spare_at > since
 
+    def take_link(self, since: float) -> None:
+        """An attempt goes over an idle connection; those left before `since` are closed by now."""
+        self.spare = self.spare - 1 if self.linked(since) else 0
+
     def renew(self) -> None:
         """A new process: what was known of the old one is void."""
         self.failed, self.answered, self.full_for, self.full_until = 0.0, NEVER, 0.0, {}
@@ -142,7 +147,7 @@
         self.workers: dict[int, Worker] = {}
         self.kin: dict[int, Kin] = {}  # by kind
         self.codes: dict[bytes, Worker] = {}
-        self.kept = settings.conn_idle / 2  # for which a connection may stand idle
+        self.kept = settings.conn_idle * api.IDLE_PART  # for which a connection may stand idle
         self.pool: tuple[list[Worker], list[float]] = ([], [])  # to draw from, with summed chances
         self.warm = False  # whether there is a warm worker
         self.slow, self.out, self.done = 0.0, 0, 0.0  # answer time of late; attempts out, not late; answers
@@ -190,6 +195,12 @@
         self.timers[self.token] = (then, about)
         self.actions.append(api.SetTimer(at, self.token))
 
+    def end_by(self, request: int, call: Call, then: Callable[..., None]) -> None:
+        """A timer just before a call's deadline: one, however often it is asked for."""
+        if not call.timed:
+            call.timed = True
+            self.timer(call.deadline - 2 * self.s.tick, then, request)
+
     def fired(self, event: api.TimerFired) -> None:
         if timer := self.timers.pop(event.token, None):
             timer[0](*timer[1])
