--- /dev/null
+++ b/benchmarks/fleet_count.py
@@ -0,0 +1,165 @@
+"""Count a bench day across its whole fleet, from the ingresses' own logs at TRACE.
+
+    ../given/kit/more/bin/lbreal SITE --rough zone+vast --seed 3 --deploy deploy/trace.toml --logs logs
+    python -m benchmarks.fleet_count logs
+
+Reads every `*.log` of a folder: lines `SECONDS TIME TRACE trace WHAT KEY=VALUE ...`, SECONDS being the day's.
+Prints, by steps of the day, what the fleet did together; then calls by node; then, for each plan, the units sent
+on beyond a firm's store and those refused while it held some. The stores are replayed from all ingresses' answers in
+the order of the requests' arrival, so they are as exact as the log's milliseconds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+COLD = 16_000  # ms of age up to which a node counts as new
+
+
+@dataclass(slots=True)
+class Event:
+    at: float  # s of the day
+    ingress: str
+    what: str
+    figures: dict[str, str]
+
+
+@dataclass(slots=True)
+class Firm:
+    """One firm's store, as one ingress that saw all would keep it; units."""
+
+    level: float
+    at: float
+
+
+@dataclass(slots=True)
+class Plan:
+    name: str
+    rate: float
+    burst: float
+    sent: float = 0.0
+    beyond: float = 0.0
+    refused: Counter[tuple[str, str]] = field(default_factory=Counter)
+
+
+def events(lines: Iterable[str], ingress: str) -> Iterator[Event]:
+    """The trace lines among a log's; others, and half a line at a kill, are passed over."""
+    for line in lines:
+        parts = line.split()
+        if len(parts) < 5 or parts[2] != "TRACE" or parts[3] != "trace":
+            continue
+        try:
+            at = float(parts[0])
+            figures = dict(part.split("=", 1) for part in parts[5:])
+        except ValueError:
+            continue
+        yield Event(at, ingress, parts[4], figures)
+
+
+def label(event: Event) -> str | None:
+    """What an event counts as, in the steps of the day."""
+    figures = event.figures
+    match event.what:
+        case "answer":
+            reason = figures.get("reason", "-")
+            return f"{figures.get('outcome')}" + (f" {reason}" if reason != "-" else "")
+        case "call":
+            age = int(figures.get("age", "-1"))
+            return ("again" if figures.get("number") != "0" else "first") + (" new" if 0 <= age < COLD else "")
+        case "connect":
+            return f"connect {figures.get('end')}"
+        case "count":
+            return f"counter {figures.get('outcome')}"
+        case "open" | "watch" | "watch-end" | "list":
+            return event.what
+    return None
+
+
+def by_step(found: list[Event], step: float) -> dict[float, Counter[str]]:
+    steps: dict[float, Counter[str]] = defaultdict(Counter)
+    for event in found:
+        if name := label(event):
+            steps[event.at // step * step][name] += 1
+    return steps
+
+
+def by_node(found: list[Event]) -> dict[str, Counter[str]]:
+    """Calls and their ends by node."""
+    nodes: dict[str, Counter[str]] = defaultdict(Counter)
+    for event in found:
+        if event.what == "call":
+            nodes[event.figures["node"]]["calls"] += 1
+        elif event.what == "ended":
+            nodes[event.figures["node"]][event.figures["outcome"]] += 1
+    return nodes
+
+
+def stores(found: list[Event]) -> list[Plan]:
+    """Each plan's units sent on, beyond the firms' stores, and refused by reason and by what the store held:
+    `half` or more, `some` (enough for the request), `none`."""
+    plans: list[Plan] = []
+    for event in found:
+        if event.what == "plan" and event.figures["name"] not in [p.name for p in plans]:
+            figures = event.figures
+            plans.append(Plan(figures["name"], float(figures["rate"]), float(figures["burst"])))
+    asked = [
+        (e.at - float(e.figures["took"]) / 1000.0, e.figures)
+        for e in found
+        if e.what == "answer" and e.figures["outcome"] != "gone"
+    ]
+    firms: dict[str, Firm] = {}
+    for at, figures in sorted(asked, key=lambda one: one[0]):
+        plan, units = plans[int(figures["plan"])], float(figures["units"])
+        firm = firms.setdefault(figures["firm"], Firm(plan.burst, at))
+        firm.level = min(plan.burst, firm.level + plan.rate * (at - firm.at))
+        firm.at = at
+        if figures["sent"] == "1":
+            plan.sent += units
+            if firm.level >= units:
+                firm.level -= units
+            else:
+                plan.beyond += units
+        elif figures["outcome"] == "refused":
+            held = "half" if firm.level >= plan.burst / 2 else "some" if firm.level >= units else "none"
+            plan.refused[figures["reason"], held] += round(units)
+    return plans
+
+
+def read(folder: Path) -> list[Event]:
+    found: list[Event] = []
+    for file in sorted(folder.glob("*.log")):
+        with file.open(errors="replace") as lines:
+            found += events(lines, file.stem)
+    return sorted(found, key=lambda event: event.at)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Count a bench day across its fleet.")
+    parser.add_argument("logs", type=Path)
+    parser.add_argument("--step", type=float, default=0.25, help="seconds (0.25)")
+    parser.add_argument("--nodes", type=int, default=12, help="nodes shown, those with most failures first")
+    options = parser.parse_args()
+    found = read(options.logs)
+    if not found:
+        print(f"{options.logs}: no trace line in any *.log; was the day run with deploy/trace.toml?", file=sys.stderr)
+        return 2
+    for at, names in sorted(by_step(found, options.step).items()):
+        print(f"{at:7.2f}  " + "  ".join(f"{name} {n}" for name, n in sorted(names.items())))
+    nodes = by_node(found)
+    worst = sorted(nodes, key=lambda node: nodes[node]["ok"] - nodes[node]["calls"])[: options.nodes]
+    for node in worst:
+        print(node, "  ".join(f"{name} {n}" for name, n in nodes[node].most_common()))
+    for plan in stores(found):
+        print(f"{plan.name}: {plan.sent:.0f} units sent on, {plan.beyond:.0f} beyond the quota; refused (reason, store held):")
+        for (reason, held), units in plan.refused.most_common():
+            print(f"    {reason}, {held}: {units}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,9 +5,11 @@
 import random
 from dataclasses import replace
 from heapq import heappop, heappush
+from pathlib import Path
 
 import pytest
 
+from benchmarks import fleet_count
 from dockthread import api
 from dockthread.backoff import PART, Backoff
 from dockthread.belief import smoothed
@@ -201,3 +203,29 @@
         return pool.opened
 
     assert opened(0.08) < 0.8 * opened(0.0)
+
+
+def test_a_day_is_counted_across_the_logs_of_a_fleet(tmp_path: Path) -> None:
+    plan = "0.000 2026-12-01T00:00:00.000 TRACE trace plan name=klein rate=1.0 burst=2.0 ceiling=0.0\n"
+
+    def answer(at: float, outcome: str, reason: str, sent: int) -> str:
+        figures = f"kind=0 plan=0 firm=7 outcome={outcome} reason={reason} took=100 units=1 sent={sent}"
+        return f"{at:.3f} 2026-12-01T00:00:00.000 TRACE trace answer {figures}\n"
+
+    (tmp_path / "n0.log").write_text(
+        plan + answer(1.0, "served", "-", 1) + answer(1.0, "served", "-", 1) + "1.0 x INFO n0 listens\n"
+        "1.1 2026-12-01T00:00:00.000 TRACE trace call node=s-1 number=1 kind=0 age=200\n"
+        "1.2 2026-12-01T00:00:00.000 TRACE trace ended nod"
+    )
+    (tmp_path / "n1.log").write_text(
+        plan + answer(1.1, "served", "-", 1) + answer(3.3, "refused", "ceiling", 0)
+        + "3.3 2026-12-01T00:00:00.000 TRACE trace ended node=s-1 outcome=error took=1.0 load=-\n"
+    )  # fmt: skip
+    found = fleet_count.read(tmp_path)
+    steps = fleet_count.by_step(found, 1.0)
+    assert steps[1.0] == {"served": 3, "again new": 1}
+    assert steps[3.0] == {"refused ceiling": 1}
+    assert fleet_count.by_node(found) == {"s-1": {"calls": 1, "error": 1}}
+    (klein,) = fleet_count.stores(found)
+    assert (klein.sent, klein.beyond) == (3.0, 1.0), "the third finds 0.1 in a store that two ingresses emptied"
+    assert klein.refused == {("ceiling", "half"): 1}
