Take new settings whole at SIGHUP, and refuse broken files before their addresses

Design: settings.py refuses a time or SendCap not over 0, or no class, with file, key and fault; any error refuses the whole file, addresses included. ops/retune.py merges classes by name into the module's list without ever reusing a number (a request under way keeps its class); vanished classes stay for what is under way but are no longer offered (resp.Vocabulary's `offered`). Way not taken: renumbering the classes to the new file's order, which would give requests in flight another class's figures.

--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -200,9 +200,19 @@
     """Reads requests by the names that the settings give to classes and plans."""
 
     def __init__(
-        self, names: Names, classes: tuple[api.RequestClass, ...], gateways: int, most_units: int
+        self,
+        names: Names,
+        classes: tuple[api.RequestClass, ...],
+        gateways: int,
+        most_units: int,
+        offered: frozenset[str] | None = None,
     ) -> None:
-        self._classes = {name.encode(): number for number, name in enumerate(names.classes)}
+        """`offered`: the classes that clients may ask for, where not all that the module knows."""
+        self._classes = {
+            name.encode(): number
+            for number, name in enumerate(names.classes)
+            if offered is None or name in offered
+        }
         self._plans = {name.encode(): number for number, name in enumerate(names.plans)}
         safe = [c.effect is api.Effect.SAFE for c in classes]
         self._verbs = [b"API.READ" if s else b"API.WRITE" for s in safe]
--- /dev/null
+++ b/dockthread/ops/retune.py
@@ -0,0 +1,60 @@
+"""Settings taken over at SIGHUP, decided without I/O.
+
+Theory of operation. The module counts classes by number, and a request under way holds its class by that
+number and by the `RequestClass` it was given at its arrival. So numbers are never reused: a class of the new
+file that the old one had keeps its number and takes the new figures for what arrives from now on; a new class
+is given the next number; a class that the new file lacks stays in the module's list, for what is under way,
+but is no longer offered to clients. Of the rest only the attempts allowed are taken over, for they may shrink;
+a file's other keys hold from the next start on. A file that is broken in any part has been refused before it
+gets here (`settings.read_config`), so what arrives is whole.
+
+| old file     | new file     | the module's list         | offered |
+| ------------ | ------------ | ------------------------- | ------- |
+| class C at i | class C      | i, the new figures        | yes     |
+| class C at i | -            | i, the old figures        | no      |
+| -            | class C      | next number, new figures  | yes     |
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from dockthread import api
+from dockthread.settings import Names
+
+if TYPE_CHECKING:
+    from dockthread.rules import Gateway
+
+
+@dataclass(frozen=True, slots=True)
+class Retuned:
+    """The module's settings and names after a reload, and the classes that clients may ask for."""
+
+    settings: api.Settings
+    names: Names
+    offered: frozenset[str]
+
+
+def merge(old: api.Settings, old_names: Names, new: api.Settings, new_names: Names) -> Retuned:
+    """`old`: what the module holds now; `new`: the file just read. Raises nothing."""
+    classes, names = list(old.classes), list(old_names.classes)
+    for name, rules in zip(new_names.classes, new.classes, strict=True):
+        if name in names:
+            classes[names.index(name)] = rules
+        else:
+            names.append(name)
+            classes.append(rules)
+    settings = replace(old, classes=tuple(classes), most_attempts=new.most_attempts)
+    return Retuned(settings, replace(old_names, classes=tuple(names)), frozenset(new_names.classes))
+
+
+def retune(gateway: Gateway, settings: api.Settings) -> None:
+    """Give the module `settings` from `merge`. What its parts derived from the classes at their start
+    (attempts.py, admission.py, rules.py) is derived again from the longer list; what it has learnt stays."""
+    classes = settings.classes
+    gateway.s = settings
+    gateway.usual = [(c.aim / 5, c.aim / 10) for c in classes]
+    gateway.tight = min(c.aim for c in classes)
+    gateway.cheapest = min(c.worth for c in classes)
+    gateway.dearest = max(c.worth for c in classes)
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -73,10 +73,13 @@
     conn_idle: float = 15_000.0
     connect_timeout: float = 250.0
     most_open: int = 20_000
+    management: Address | None = None  # the management door, where there is one
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds for clients
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
-    """The configuration at `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY` override its own."""
+    """The configuration at `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_DISCOVERY`, `NODE_MANAGEMENT` override
+    its own."""
     path = environ.get("NODE_CONFIG")
     if not path:
         raise SettingsError("NODE_CONFIG is not set: it names the configuration file")
@@ -126,6 +129,8 @@
         conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
         connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
         most_open=limits.get("MaxOpen", 20_000),
+        inherited=int(fd) if (fd := environ.get("NODE_INHERITED_FD")) else None,
+        management=Address.parse(door) if (door := environ.get("NODE_MANAGEMENT") or raw.get("management")) else None,
     )
 
 
@@ -164,6 +169,14 @@
 
     limits, safety = raw.get("Limits", {}), raw.get("Safety", {})
     domain, costs, stats = raw.get("Domain", {}), raw.get("Costs", {}), raw.get("Stats", {})
+    for number, c in enumerate(raw["Classes"]):
+        for key in ("Aim", "HardLimit"):
+            if not c[key] > 0:
+                raise SettingsError(f"settings.Classes[{number}].{key} is {c[key]!r}; a time over 0 would do")
+    if not limits.get("SendCap", 1) > 0:
+        raise SettingsError(f"settings.Limits.SendCap is {limits['SendCap']!r}; 1 attempt or more would do")
+    if not raw["Classes"]:
+        raise SettingsError("settings.Classes is empty; one class at least would do")
     classes = tuple(
         api.RequestClass(
             aim=seconds(c["Aim"]),
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -204,6 +204,10 @@
         ({"limits": {"sockets": 8}}, "limits.sockets"), ({"seed": "xyz"}, "base 16"),
         ({"settings": SETTINGS | {"Classes": [{"Name": "a"}]}}, "Aim"),
         ({"listen": "127.0.0.1:70000"}, "not an address"),
+        ({"settings": SETTINGS | {"Classes": [SETTINGS["Classes"][0] | {"HardLimit": 0}]}}, r"\[0\].HardLimit"),
+        ({"settings": SETTINGS | {"Classes": [SETTINGS["Classes"][1] | {"Aim": -5}]}}, r"Classes\[0\].Aim is -5"),
+        ({"settings": SETTINGS | {"Limits": SETTINGS["Limits"] | {"SendCap": 0}}}, "SendCap is 0"),
+        ({"settings": SETTINGS | {"Classes": []}}, "Classes is empty"),
     ],
 )  # fmt: skip
 def test_bad_configurations_are_one_plain_line(changes: dict[str, Any], says: str, tmp_path: Path) -> None:
