Open the management door with figures and drains by hand, and inherit the listener

Figures are plain increments in observer.Traffic (answers by outcome and class, tries after the last byte goes out) rendered by ops/figures.py at a scrape; way not taken: a second observer, which would cost a call per answer where the ingress now adds one. A detached backend is told to the module as draining by destination_set (held uids masked in every list), so the rule on drains stays the module's; an attach tells it as started now, cold. Held uids go to $TMPDIR/dockthread-held.json on each change and are read at start, which carries a drain over an upgrade. SIGHUP counts files taken and refused.

--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf, isfinite
 from typing import Any
 
@@ -41,6 +41,7 @@
     state: api.WorkerState
     started: float  # milliseconds on the ingress's clock, 0 for long ago
     gone: float = inf  # since when
+    told: api.WorkerEntry | None = None  # what the module was last told of it, as discovery listed it
 
     @property
     def active(self) -> bool:
@@ -63,6 +64,35 @@
         self._numbers = 0
         self.revision = 0
         self.moved: Callable[[Destination], None] = lambda destination: None
+        self.held: set[str] = set()  # uids left out by hand: the module hears that they drain, whatever is listed
+
+    @property
+    def listed(self) -> int:
+        return sum(d.state is not api.WorkerState.GONE for d in self.by_worker.values())
+
+    @property
+    def avoided(self) -> int:
+        """Listed destinations that are left out by hand."""
+        return sum(d.state is not api.WorkerState.GONE and d.uid in self.held for d in self.by_worker.values())
+
+    def hold(self, uid: str, held: bool, now: float) -> api.WorkersListed | None:
+        """Leave a uid out by hand, or let it serve again; None where no such uid is known. A uid let back has
+        been restarted meanwhile, so it is told as started now: cold."""
+        known = self._by_uid.get(uid)
+        if known is None and not (uid in self.held and not held):
+            return None
+        (self.held.add if held else self.held.discard)(uid)
+        if known is None or known.told is None:
+            return api.WorkersListed(api.ListKind.CHANGES, ())
+        if not held:
+            known.told = replace(known.told, started=now / 1000.0)
+            known.started = now
+        return api.WorkersListed(api.ListKind.CHANGES, (self._masked(known.told, uid),))
+
+    def _masked(self, entry: api.WorkerEntry, uid: str) -> api.WorkerEntry:
+        if uid in self.held and entry.state is api.WorkerState.READY:
+            return replace(entry, state=api.WorkerState.DRAINING)
+        return entry
 
     def uid(self, worker: int) -> str:
         return self.by_worker[worker].uid if worker in self.by_worker else "-"
@@ -131,9 +161,10 @@
                 self.moved(known)
         gone = known.state is api.WorkerState.GONE
         known.gone = min(known.gone, self._clock.now()) if gone else inf
-        return api.WorkerEntry(
+        known.told = api.WorkerEntry(
             known.worker, read.state, read.zone, read.kind, read.cell, read.weight, read.started
         )
+        return self._masked(known.told, uid)
 
 
 class WatchParser:
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -26,6 +26,7 @@
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.outbound import Outbound, OutboundCall
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
+from dockthread.ops import retune
 from dockthread.rules import Gateway
 from dockthread.settings import Address, Config
 
@@ -86,6 +87,7 @@
     def __init__(self, config: Config, clock: Clock, observer: Observer | None = None) -> None:
         self.config, self.clock, self.lifecycle = config, clock, Lifecycle()
         self.observer, self.traffic = observer or Observer(), Traffic()
+        self.traffic.grow(len(config.names.classes))
         self._loop = asyncio.get_running_loop()
         module = config.module
         self.vocabulary = resp.Vocabulary(config.names, module.classes, module.gateways, config.most_units)
@@ -177,25 +179,36 @@
     def stop(self) -> None:
         self._stop.set()
 
+    @property
+    def active(self) -> int:
+        """Requests taken and not answered yet."""
+        return sum(not request.finished for request in self.requests.values())
+
+    def hold(self, uid: str, held: bool) -> bool:
+        """Leave a backend out by hand, under the rule on drains, or let it serve again, cold; the module hears it
+        as a change of the list. False where no such backend is known."""
+        listed = self.destinations.hold(uid, held, self.clock.now())
+        if listed is None:
+            return False
+        self._tell(listed)
+        return True
+
     def reconfigure(self, config: Config) -> None:
-        """Take over what may change under load: the addresses of discovery and of the counter, and whether a class's
-        requests may be repeated."""
-        self.config = replace(self.config, discovery=config.discovery, counter=config.counter)
-        if config.names.classes == self.config.names.classes:
-            self._reclass(config.module.classes)
+        """Take over what may change under load: the addresses of discovery and of the counter, the classes and
+        the attempts allowed (dockthread/ops/retune.py). A request in flight keeps the class it came with."""
+        retuned = retune.merge(self.gateway.s, self.config.names, config.module, config.names)
+        retune.retune(self.gateway, retuned.settings)
+        attempts = config.module.most_attempts
+        module = replace(self.config.module, classes=retuned.settings.classes, most_attempts=attempts)
+        self.config = replace(self.config, discovery=config.discovery, counter=config.counter, module=module)
+        self.config = replace(self.config, names=retuned.names)
+        self.vocabulary = resp.Vocabulary(
+            retuned.names, module.classes, module.gateways, self.config.most_units, retuned.offered
+        )
+        self.traffic.grow(len(retuned.names.classes))
         self.watch.move(config.discovery)
         self.counter.move(config.counter)
 
-    def _reclass(self, classes: tuple[api.RequestClass, ...]) -> None:
-        """Take over what classes do to the world. A request in flight is held to the stricter of both."""
-        old = self.gateway.s.classes
-        now = tuple(replace(one, effect=new.effect) for one, new in zip(old, classes, strict=True))
-        if now != old:
-            self.gateway.s = replace(self.gateway.s, classes=now)
-            self.config = replace(self.config, module=replace(self.config.module, classes=now))
-            config = self.config
-            self.vocabulary = resp.Vocabulary(config.names, now, config.module.gateways, config.most_units)
-
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
         listener = self._listen()
@@ -236,6 +249,12 @@
 
     def _listen(self) -> socket.socket:
         address = self.config.listen
+        if self.config.inherited is not None:  # it listens already, and the process before may still take from it
+            listener = socket.socket(fileno=self.config.inherited)
+            listener.setblocking(False)
+            self.address = Address(*listener.getsockname()[:2])
+            logger.info("{} takes the inherited listener {} on {}", self.config.name, listener.fileno(), self.address)
+            return listener
         listener = address.new_socket()
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -445,6 +464,7 @@
     def answered_at_once(self, ask: resp.Ask, reason: str, answer: bytes) -> Slot:
         """The answer to a request that the module never hears of: there is no room for it, or it is open."""
         outcome = REFUSED if answer.startswith(resp.BUSY[:5]) else FAILED
+        self.traffic.outcomes[outcome][ask.request_class] += 1
         self.observer.answered(
             ask.request_class, ask.plan, ask.customer, outcome, reason, 0.0, ask.units, False
         )
@@ -555,6 +575,7 @@
 
     def _answer(self, request: Request, answer: bytes, outcome: str, reason: str = "") -> None:
         request.answer = answer
+        self.traffic.outcomes[outcome][request.ask.request_class] += 1
         if self.observer.active:
             ask, took = request.ask, self.clock.now() - request.taken
             self.observer.answered(
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -213,6 +213,7 @@
         self._traffic.node_out += len(command)
         await self._loop.sock_sendall(connection.sock, command)
         call.written = True
+        self._traffic.tries += 1
         reply, last = await self._answer(connection, call, buffer)
         if last:
             self._tell(call, reply)
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -24,7 +24,9 @@
         "node_in",
         "node_out",
         "nodes_opened",
+        "outcomes",
         "spoilt",
+        "tries",
     )
 
     def __init__(self) -> None:
@@ -32,6 +34,13 @@
         self.client_in = self.client_out = self.node_in = self.node_out = 0
         self.clients_opened = self.nodes_opened = 0
         self.spoilt = 0  # commands that could not be served
+        self.tries = 0  # outbound calls whose last byte went out
+        # Final answers by outcome and by the module's number of their class; `grow` as classes are added.
+        self.outcomes: dict[str, list[int]] = {outcome: [] for outcome in OUTCOMES}
+
+    def grow(self, classes: int) -> None:
+        for counts in self.outcomes.values():
+            counts.extend([0] * (classes - len(counts)))
 
 
 class Observer:
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -7,10 +7,13 @@
 
 import asyncio
 import gc
+import json
 import os
 import signal
 import sys
+import tempfile
 from contextlib import suppress
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -20,6 +23,7 @@
 from dockthread.logs.setup import set_up
 from dockthread.net.destination_set import WatchError
 from dockthread.net.ingress import Ingress
+from dockthread.ops.figures import Figures, render
 from dockthread.settings import Config, SettingsError, read_config, reread_config
 
 if TYPE_CHECKING:
@@ -28,6 +32,16 @@
     from dockthread.telemetry.exporter import Exporter
 
 OK, CANNOT_LISTEN, BAD_CONFIGURATION = 0, 1, 2  # exit codes
+HELD_FILE = "dockthread-held.json"  # in $TMPDIR: the backends left out by hand, for the next process
+
+
+def _read_held(path: Path) -> list[str]:
+    """What the process before left out by hand; nothing where it left no file, or a broken one."""
+    try:
+        held = json.loads(path.read_bytes())
+    except (OSError, ValueError):
+        return []
+    return [uid for uid in held if isinstance(uid, str)] if isinstance(held, list) else []
 
 
 class Daemon:
@@ -45,9 +59,52 @@
         self._applied: dict[str, object] = {}
         self._reloading: asyncio.Task[None] | None = None
         self._asked_again = False
+        self.applied = self.rejected = 0  # files read again at SIGHUP
+        self._held_file = Path(os.environ.get("TMPDIR") or tempfile.gettempdir()) / HELD_FILE
+        self.ingress.destinations.held.update(_read_held(self._held_file))
         if read is not None:
             self._apply(read)
 
+    # What the management door asks (ops/management.py)
+
+    @property
+    def ready(self) -> bool:
+        return self.ingress.ready
+
+    def figures(self) -> bytes:
+        ingress = self.ingress
+        return render(
+            Figures(
+                classes=ingress.config.names.classes,
+                outcomes=ingress.traffic.outcomes,
+                tries=ingress.traffic.tries,
+                active=ingress.active,
+                pool_size=ingress.destinations.listed,
+                pool_ejected=ingress.destinations.avoided,
+                config_applied=self.applied,
+                config_rejected=self.rejected,
+            )
+        )
+
+    def detach(self, target: str) -> bool:
+        return self._hold(target, True)
+
+    def attach(self, target: str) -> bool:
+        return self._hold(target, False)
+
+    def _hold(self, target: str, held: bool) -> bool:
+        if not self.ingress.hold(target, held):
+            return False
+        # For the process that takes over at an upgrade: it starts with what is held here.
+        try:
+            passing = self._held_file.with_suffix(".new")
+            passing.write_text(json.dumps(sorted(self.ingress.destinations.held)))
+            os.replace(passing, self._held_file)
+        except OSError as error:
+            logger.warning("cannot keep the backends held by hand in {}: {}", self._held_file, error)
+        logger.info("backend {} {} by hand", target, "detached" if held else "attached")
+        return True
+
     def _apply(self, read: Read) -> None:
         """Raises SettingsError, and then nothing has changed."""
         self._apply_telemetry(read)
@@ -75,9 +132,17 @@
         gc.collect()
         gc.freeze()  # what stands now stands for good: no collection need look at it again
         gc.set_threshold(20_000)  # requests leave no cycles behind, so the rest need be looked at seldom
+        door = None
+        if self.ingress.config.management is not None:
+            from dockthread.ops.management import Door
+
+            door = Door(self, self.ingress.config.management)
+            door.open()
         try:
             await self.ingress.run()
         finally:
+            if door is not None:
+                door.close()
             if self._exporter is not None:
                 await self._exporter.farewell()
 
@@ -99,8 +164,10 @@
 
                     self._apply(await asyncio.to_thread(load, self._file, config.module, config.names))
             except SettingsError as error:
+                self.rejected += 1
                 logger.warning("the old configuration stays: {}", error)
                 continue
+            self.applied += 1
             self.ingress.reconfigure(config)
             logger.info(
                 "configuration read again: discovery at {}, counter at {}", config.discovery, config.counter
