Test that drains by hand pass to the next process through $TMPDIR

Change: tests/test_door.py starts a daemon, detaches a backend twice and an unknown one once, then starts a second daemon with the same $TMPDIR, as an upgrade does: the second tells the module that the backend drains while discovery lists it active, and one attach there frees it for a third.

--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -7,11 +7,12 @@
 
 import pytest
 
+from dockthread import api
 from dockthread.ops import door
 from dockthread.ops.management import Door
 from dockthread.serve import Daemon
 from dockthread.settings import Address
-from tests.loopback import Backend, run, serving
+from tests.loopback import Backend, config, message, run, serving, target
 
 
 @pytest.mark.parametrize(
@@ -80,3 +81,22 @@
             opened.close()
 
     run(scenario())
+
+
+def test_backends_held_by_hand_pass_to_the_next_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    known = message(1, target("s-0", 9), target("s-1", 10), full=True)
+
+    async def scenario() -> None:
+        first = Daemon(config(known), None, None)
+        first.ingress._tell(first.ingress.destinations.apply(known))
+        assert first.detach("s-0") and first.detach("s-0") and not first.detach("nobody")
+        second = Daemon(config(known), None, None)  # an upgrade: the same $TMPDIR
+        listed = second.ingress.destinations.apply(known)
+        states = {second.ingress.destinations.uid(e.worker): e.state for e in listed.entries}
+        assert states == {"s-0": api.WorkerState.DRAINING, "s-1": api.WorkerState.READY}
+        assert second.attach("s-0") and not second.ingress.destinations.held
+        third = Daemon(config(known), None, None)
+        assert not third.ingress.destinations.held
+
+    run(scenario())
