--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -198,10 +198,11 @@
         the attempts allowed (dockthread/ops/retune.py). A request in flight keeps the class it came with."""
         retuned = retune.merge(self.gateway.s, self.config.names, config.module, config.names)
         retune.retune(self.gateway, retuned.settings)
-        attempts = config.module.most_attempts
-        module = replace(self.config.module, classes=retuned.settings.classes, most_attempts=attempts)
-        self.config = replace(self.config, discovery=config.discovery, counter=config.counter, module=module)
-        self.config = replace(self.config, names=retuned.names)
+        settings = retuned.settings
+        module = replace(self.config.module, classes=settings.classes, most_attempts=settings.most_attempts)
+        self.config = replace(
+            self.config, discovery=config.discovery, counter=config.counter, module=module, names=retuned.names
+        )
         self.vocabulary = resp.Vocabulary(
             retuned.names, module.classes, module.gateways, self.config.most_units, retuned.offered
         )
@@ -255,14 +256,7 @@
             self.address = Address(*listener.getsockname()[:2])
             logger.info("{} takes the inherited listener {} on {}", self.config.name, listener.fileno(), self.address)
             return listener
-        listener = address.new_socket()
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((address.host, address.port))
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
+        listener = address.listener(BACKLOG)
         self.address = Address(*listener.getsockname()[:2])  # its port may have been left to the system
         logger.info("{} listens on {}", self.config.name, self.address)
         return listener
--- a/dockthread/ops/management.py
+++ b/dockthread/ops/management.py
@@ -57,12 +57,10 @@
         return decided
     if decided.verb is door.Verb.VARS:
         return door.Answer(200, host.figures(), b"text/plain; version=0.0.4")
-    done = {
-        door.Verb.READY: lambda: host.ready,
-        door.Verb.DETACH: lambda: host.detach(decided.target),
-        door.Verb.ATTACH: lambda: host.attach(decided.target),
-    }[decided.verb]()
-    return door.carried(decided, done)
+    if decided.verb is door.Verb.READY:
+        return door.carried(decided, host.ready)
+    held = decided.verb is door.Verb.DETACH
+    return door.carried(decided, host.detach(decided.target) if held else host.attach(decided.target))
 
 
 class Door:
@@ -74,15 +72,7 @@
 
     def open(self) -> None:
         """Listen; raises OSError where it cannot."""
-        listener = self.address.new_socket()
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((self.address.host, self.address.port))
-            listener.listen(128)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
+        listener = self._listener = self.address.listener(128)
         self.address = Address(*listener.getsockname()[:2])
         logger.info("management door on {}", self.address)
         self._accepting = asyncio.get_running_loop().create_task(self._accept(listener))
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -50,6 +50,18 @@
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
         return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
 
+    def listener(self, backlog: int) -> socket.socket:
+        """A socket that listens here, for the loop; raises OSError where it cannot, and then holds nothing."""
+        listener = self.new_socket()
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((self.host, self.port))
+            listener.listen(backlog)
+        except OSError:
+            listener.close()
+            raise
+        return listener
+
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
