Count what the others let in once: one store told by messages and counter, in turn

At fault: the counter's total (admission._counted) and the peers' mail (mail._said, mail._count, admission._customer's refill) each took the others' use off Customer.level. Change: dockthread/ledger.py owns the store and sets what one source tells against what the other told first. mail.py tells all of a customer's set its sums directly; keepers and their words go. The counter is asked and told only where messages do not serve (`_hears`: a silent gateway, or news older than a quarter of the window). belief.Reports reads any of the wire's fields.

--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -7,7 +7,7 @@
 
 from dockthread import api
 from dockthread.api import Effect, Outcome
-from dockthread.belief import MOST_PACE, scarcity, smoothed
+from dockthread.belief import MOST_PACE, Reports, scarcity, smoothed
 from dockthread.choice import Choice
 from dockthread.state import Attempt, Call
 
@@ -26,7 +26,7 @@
 class Attempts(Choice):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.inflight = settings.load_names.index("rif") if "rif" in settings.load_names else -1
+        self.reports = Reports(settings.load_names)
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
@@ -86,8 +86,8 @@
         self.carry(w, -1)
         if call is not None and call.attempts[e.attempt].late:
             self.out += 1  # taken off when it was late
-        if e.load and self.inflight >= 0:
-            w.hear(e.load, e.load[self.inflight], self.now)
+        if e.load:
+            w.hear(e.load, self.reports, sum(usual for usual, _ in self.usual) / len(self.usual), self.now)
         w.answered = self.now if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else w.answered
         if e.outcome is Outcome.OK:
             w.failed -= FAIL_STEP * w.failed
@@ -113,7 +113,8 @@
             self.usual[call.ask.request_class] = smoothed(usual, deviation, e.took, SMOOTH)
         if self.s.settles_units and e.true_units:
             more_units = e.true_units - call.ask.units
-            c.level, c.spent = c.level - more_units, c.spent + more_units
+            c.store.take(more_units, below=True)
+            c.spent += more_units
             self._report(owner, c)
         if e.finished:
             self._finish(e.request)
--- a/dockthread/belief.py
+++ b/dockthread/belief.py
@@ -16,6 +16,8 @@
 MOST_PACE = 8.0  # the slowest answer that counts, in usual ones
 PACE_STEP, KIN_STEP = 0.05, 0.05  # least weight of one more answer in a worker's figures; in its kind's
 FEW = 3.0  # gateways for which the weight of one failure, and the time that it lasts, were set
+FIELDS = ("rif", "busy", "rate", "lat_ms", "q")  # of load reports, on the wire
+BUSY = 1.0  # requests that a node's use of all its cores counts as, beside the own ones there
 CLIPPED = 3.0  # deviations beyond the usual time that one answer can tell
 
 
@@ -59,6 +61,35 @@
         return (IMAGINED * kin.pace + self.seen * self.mean) / (IMAGINED + self.seen)
 
 
+class Reports:
+    """Reads load reports, whichever of the wire's fields a site has: requests at a worker that are not from here.
+
+    The first of these that the report has: `rif`, the requests there; `busy`, the part of the cores in use, which
+    counts as up to one request (to learn what it stands for, and count it whole, has gateways run together to where
+    late reports saw room); `rate`, requests served a second, by the usual answer time; `lat_ms`, in usual answer
+    times. `q`, the requests in its waiting room, comes on top of all but the first. None where it tells nothing."""
+
+    __slots__ = ("at",)
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.at = {name: names.index(name) for name in FIELDS if name in names}
+
+    def others(self, report: tuple[float, ...], out: int, usual: float) -> float | None:
+        """Requests of others there. `out`: own attempts there, without the one whose answer brought the report;
+        `usual`: s that an answer takes."""
+        told = {name: report[i] for name, i in self.at.items() if i < len(report)}
+        if "rif" in told:
+            return max(0.0, told["rif"] - out - 1)
+        queue = told.get("q", 0.0)
+        if "busy" in told:
+            return BUSY * max(0.0, told["busy"]) + queue
+        if "rate" in told:
+            return max(0.0, told["rate"] * usual - out) + queue
+        if "lat_ms" in told:
+            return max(0.0, told["lat_ms"] / 1000 / usual - out) + queue
+        return queue if told else None
+
+
 def smoothed(usual: float, deviation: float, took: float, step: float) -> tuple[float, float]:
     """The usual time and its deviation after one more answer. One that took far longer, at a worker that is ill, is
     clipped: it would make all that come late later look usual."""
--- a/dockthread/mail.py
+++ b/dockthread/mail.py
@@ -1,14 +1,26 @@
-"""What gateways tell each other: queues and batches of mail, and what was heard put into memory. Decides nothing."""
+"""What gateways tell each other: queues and batches of mail, and what was heard put into memory. Decides nothing.
+
+Theory of operation. Every gateway tells the others of a customer's set what it was asked for and let in, as sums
+since its start, and its attempts out. A customer of whom there is news is marked for each of the others. A round of
+mail, `(gateways - 1) / intake` seconds after the first mark, sends one message to each that has marks, so that a
+gateway takes in what the settings allow and the news is as fresh as that permits. What does not fit into a message,
+or into the stock of messages, waits; the customers with the emptiest stores go first. A gateway that has nothing to
+tell tells it after a beat, so that its silence means something. A mark of its life goes with every message: another
+mark means that it began anew and knows nothing, and it is told of the customers whose stores are not full.
+"""
 
 from __future__ import annotations
 
 from dockthread import api, message
 from dockthread.sketch import Sketch
-from dockthread.state import Customer, Memory
+from dockthread.state import NEVER, Customer, Memory
 
-INTAKE_PART, BATCH, STOCK = 0.8, 2, 4  # part of an intake that all use; messages waited for; s of it in stock
-SILENT_AFTER, SILENT_FOR = 6, 5.0  # messages without a word that make a peer silent; s until it is tried
+INTAKE_PART, STOCK = 0.8, 4  # part of an intake that all use; s of messages in stock
+ROUND_LEAST, ROUND_MOST = 0.02, 0.25  # s between the first news and its round of mail
+BEAT, BEAT_ROUNDS, SILENT_BEATS = 0.5, 8, 3  # s, or rounds of all, between messages; beats without one: silent
+CLOSE = 0.25  # of a plan's window: the oldest news by which the others' use counts as known
 NOTED, MOST_TOLD = 0.1, 3  # failed part of a worker that is told; most told
+SHORT = 0.9  # of a burst: what is left less than this of is told to one that began anew
 
 
 class Mail(Memory):
@@ -20,53 +32,78 @@
         super().__init__(settings, seed, now)
         self.intake = INTAKE_PART * max(settings.peer_intake, 1.0)
         self.stock = STOCK * self.intake
+        self.turn = (settings.gateways - 1) / self.intake  # s in which each of the others can be told once
+        self.round = min(ROUND_MOST, max(ROUND_LEAST, self.turn))
+        self.beat = max(BEAT, BEAT_ROUNDS * self.turn)
 
     def _customer(self, key: int, number: int) -> Customer:
         raise NotImplementedError
 
-    def _review(self, key: int, c: Customer, sender: int) -> None:
-        raise NotImplementedError
+    def _others(self, c: Customer) -> list[int]:
+        """The other gateways of a customer's set."""
+        ring = ((c.first + i) % self.s.gateways for i in range(c.spread))
+        return [p for p in ring if p != self.me]
 
-    def _report(self, key: int, c: Customer) -> None:
-        raise NotImplementedError
+    def _hears(self, c: Customer) -> bool:
+        """Whether messages tell what the others let in, each of them, and soon enough for the plan's window."""
+        sketch = self.sketches[c.plan]
+        if not self.s.may_tell or sketch is None or self.turn > CLOSE * sketch.window:
+            return False
+        since = self.now - SILENT_BEATS * self.beat
+        return all(self.heard.get(p, NEVER) > since for p in self._others(c))
+
+    def _hears_any(self) -> bool:
+        return self.s.may_tell and self.now - self.last_heard <= SILENT_BEATS * self.beat
 
     def _greet(self) -> None:
-        """Keepers answer a greeting with the customers that are short."""
+        """Each answers a greeting with the customers that are short."""
         peers = [p for p in range(self.s.gateways) if p != self.me]
         self.mail = {p: {} for p in self.rng.sample(peers, len(peers))}
         self._mail_soon()
 
-    def _post(self, peer: int, key: int, kept: bool) -> None:
-        if peer != self.me:
-            self.mail.setdefault(peer, {})[key] = kept
+    def _beats(self) -> None:
+        """At each round of housekeeping: who was told nothing for long is told that all is well."""
+        if self.s.may_tell:
+            for p in range(self.s.gateways):
+                if p != self.me and self.now - self.sent_at.get(p, NEVER) >= self.beat:
+                    self.mail.setdefault(p, {})
+            if self.mail:
+                self._mail_soon()
+
+    def _report(self, key: int, c: Customer) -> None:
+        """There is news of a customer: the others of its set are told with the next round."""
+        if self.s.may_tell and c.spread > 1:
+            for peer in self._others(c):
+                self.mail.setdefault(peer, {})[key] = None
             self._mail_soon()
 
     def _mail_soon(self) -> None:
         if not self.mailing and self.s.may_tell:
             self.mailing = True
-            self.timer(self.now + BATCH / self.intake, self._send_mail)
+            self.timer(self.now + self.round, self._send_mail)
 
     def _send_mail(self) -> None:
-        """On average as many messages as this gateway could take in itself; news before greetings."""
+        """On average as many messages as this gateway could take in itself; news before beats."""
         self.stock = min(STOCK * self.intake, self.stock + self.intake * (self.now - self.mailed))
         self.mailing, self.mailed = False, self.now
         bad = [w for w in self.codes.values() if w.failed > NOTED]
         suspects = [(w.code, w.failed) for w in self.rng.sample(bad, min(MOST_TOLD, len(bad)))]
+        room = message.room(len(suspects))
         for peer in sorted(self.mail, key=lambda p: not self.mail[p]):
             notes = self.mail[peer]
             if self.stock < 1 or (not notes and self.stock < STOCK * self.intake / 2):
                 break
-            keys = sorted(notes, key=lambda key: self.customers[key].level)[: message.room(len(suspects))]
-            customers = [(key, self._customer(key, self.customers[key].plan)) for key in keys]  # the shortest
-            words = [c.word_of(key) for key, c in customers if notes[key]]
-            reports = [c.report_of(key) for key, c in customers if not notes.pop(key)]
-            self.actions.append(api.Tell(message.pack(self.life, suspects, words, reports), peer))
-            if not notes:
+            keys = [key for key in notes if key in self.customers]
+            if len(keys) > room:  # those whose quota is nearest to its end
+                keys = sorted(keys, key=lambda key: self.customers[key].store.left(self.now))[:room]
+            reports = [self.customers[key].report_of(key, self.now) for key in keys]
+            self.actions.append(api.Tell(message.pack(self.life, suspects, reports), peer))
+            self.stock, self.sent_at[peer] = self.stock - 1, self.now
+            if len(keys) < len(notes):
+                for key in keys:
+                    del notes[key]
+            else:
                 del self.mail[peer]
-            self.stock -= 1
-            self.owed[peer] = self.owed.get(peer, 0) + 1
-            if self.owed[peer] > SILENT_AFTER:
-                self.silent[peer] = self.now + SILENT_FOR
         if self.mail:
             self._mail_soon()
 
@@ -74,38 +111,38 @@
         told = message.unpack(e.data, len(self.s.plans))
         if told is None or not 0 <= e.peer < self.s.gateways or e.peer == self.me:
             return
-        self.heard = self.now
-        self.owed.pop(e.peer, None)
-        self.silent.pop(e.peer, None)
+        self.heard[e.peer] = self.last_heard = self.now
         for code, failed in told.suspects:
             if suspect := self.codes.get(code):
                 suspect.failed = max(suspect.failed, failed)
         if self.lives.get(e.peer) != told.life:  # it started: it is to know whose quota is used up
             self.lives[e.peer] = told.life
-            for key in self.short:
-                if (e.peer - self.customers[key].first) % self.s.gateways < self.customers[key].spread:
-                    self._post(e.peer, key, True)
-        for w in told.words:
-            c = self._customer(w.customer, w.plan)
-            c.total, c.word, c.others = w.rate, self.now, max(0, w.out - c.out)
-            c.level = min(self.s.plans[c.plan].burst, w.left - (c.spent - c.told_spent))
+            self._tell_short(e.peer)
         for report in told.reports:
-            self._count(e.peer, self._customer(report.customer, report.plan), report)
+            self._told(e.peer, self._customer(report.customer, report.plan), report)
+
+    def _tell_short(self, peer: int) -> None:
+        for key, c in self.customers.items():
+            in_set = (peer - c.first) % self.s.gateways < c.spread
+            if in_set and c.spread > 1 and c.store.left(self.now) < SHORT * c.store.burst:
+                self.mail.setdefault(peer, {})[key] = None
+        self.mail.setdefault(peer, {})
+        self._mail_soon()
 
-    def _count(self, peer: int, c: Customer, r: message.Report) -> None:
-        c.first, c.spread, c.keeper = r.first % self.s.gateways, min(r.spread, self.s.gateways), self.me
+    def _told(self, peer: int, c: Customer, r: message.Report) -> None:
         life, arrived, spent = c.told.get(peer, (-1, 0, 0))
         if life != self.lives[peer]:  # it counts from nothing
             arrived = spent = 0
         asked, used = message.grown(r.arrived, arrived), message.grown(r.spent, spent)
         if life < 0:  # one of us is new to it: the last request counts, and a start does not fill the store
             asked, used = min(asked, self.s.largest_units), min(used, self.s.largest_units)
-            c.level = min(c.level, r.left + used)
+            c.store.at_most(r.left + used)
         c.told[peer] = (self.lives[peer], r.arrived, r.spent)
-        c.level -= used
-        if asked > 0 and (sketch := self.sketches[c.plan]) is not None:
-            c.rate = sketch.add(r.customer, asked, self.now)
+        if (sketch := self.sketches[c.plan]) is not None:
+            gap, c.told_at = self.now - c.told_at, self.now
+            c.store.messages_told(used, gap)
+            c.asked = sketch.decayed(c.asked, max(0.0, asked), gap)
+            c.spending = sketch.decayed(c.spending, max(0.0, used), gap)
         c.outs.pop(peer, None)
         if r.out:
             c.outs[peer] = (self.now, r.out)
-        self._review(r.customer, c, peer)
--- a/dockthread/ops/retune.py
+++ b/dockthread/ops/retune.py
@@ -56,5 +56,4 @@
     gateway.s = settings
     gateway.usual = [(c.aim / 5, c.aim / 10) for c in classes]
     gateway.tight = min(c.aim for c in classes)
-    gateway.cheapest = min(c.worth for c in classes)
     gateway.dearest = max(c.worth for c in classes)
--- a/dockthread/rules.py
+++ b/dockthread/rules.py
@@ -1,7 +1,7 @@
 """A gateway's decisions, joined: events in, actions out (dockthread/api.py).
 
 `Admission` asks whether the customer's decayed unit rate lets a request in (rakelimit), `Attempts` when it is
-tried, tried again, copied or given up, `Choice` where. Here: what a customer's keeper tells the others."""
+tried, tried again, copied or given up, `Choice` where. Here: events by their kind, and housekeeping."""
 
 from __future__ import annotations
 
@@ -14,18 +14,16 @@
 from dockthread.api import ListKind, WorkerState
 from dockthread.attempts import DONE_OVER, TICK
 from dockthread.belief import Kin, scarcity
-from dockthread.state import Customer, Worker
+from dockthread.state import Worker
 
 PACE_HALF = 15.0  # s in which what its answer times told counts half
 FADE_HALF = 5.0  # s in which evidence against a worker halves, so that it returns
-MOOD_STEP = 0.25  # change of a customer's chance that is told
 
 
 class Gateway(Admission):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.fade = FADE_HALF * scarcity(settings.gateways)
-        self.cheapest = min(k.worth for k in settings.classes)
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.RequestArrived: self._arrived, api.AttemptEnded: self._ended, api.WorkersListed: self._listed,
             api.PeerSaid: self._said, api.TimerFired: self.fired, api.ProbeEnded: lambda e: None,
@@ -55,34 +53,9 @@
             w.failed *= 0.5 ** (TICK / self.fade)
             w.times.seen *= 0.5 ** (TICK / PACE_HALF)
         self.tidy()
+        self._beats()
         self._survey()
 
-    def _report(self, key: int, c: Customer) -> None:
-        """To the keeper: at once, but seldomer of a customer with more arrivals than it could take in."""
-        gap = c.spread / self.intake if max(c.total, c.rate) > self.intake else 0.0
-        if c.keeper == self.me:
-            self._review(key, c, -1)
-        elif self.now - c.reported >= gap:
-            c.reported = self.now
-            self._post(c.keeper, key, False)
-
-    def _review(self, key: int, c: Customer, sender: int) -> None:
-        """As keeper: tell all when the chance changes, once a window while it is short; else the sender."""
-        plan, sketch, mood = self.s.plans[c.plan], self.sketches[c.plan], 1.0
-        if sketch is not None and c.rate > (rate := self._rate(plan)):
-            mood = self._steer(1.0, self.cheapest, c, rate / c.rate)
-        mood *= not self._capped(c)
-        gap, since, self.short[key] = c.spread / self.intake, self.now - c.mood_at, None
-        stale = mood < 1 and since > (sketch.window if sketch else self.tight)
-        if since >= gap and (stale or abs(mood - c.mood) >= min(MOOD_STEP, gap)):
-            c.mood, c.mood_at = mood, self.now
-            for i in range(c.spread):
-                self._post((c.first + i) % self.s.gateways, key, True)
-        elif sender >= 0 and (mood < 1 or c.mood < 1 or self.rng.random() < 0.5):
-            self._post(sender, key, True)
-        if mood >= 1:
-            del self.short[key]
-
     def _listed(self, e: api.WorkersListed) -> None:
         if e.kind is ListKind.FAILED:
             again = self.now + self.s.safety.ask_within / 10
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -9,8 +9,9 @@
 from math import inf
 
 from dockthread import api
-from dockthread.belief import Kin, Pace
-from dockthread.message import Report, Word, whole, worker_code
+from dockthread.belief import Kin, Pace, Reports
+from dockthread.ledger import Store
+from dockthread.message import Report, whole, worker_code
 
 NEVER = -1e9  # a time long ago
 REPORT_HALF, MEAN_HALF = 0.4, 8.0  # s in which a report's news halves; in which what was smoothed before does
@@ -62,11 +63,11 @@
         """Answer time, in usual ones of its class."""
         return self.times.believed(self.kin)
 
-    def hear(self, report: tuple[float, ...], inflight: float, now: float) -> None:
+    def hear(self, report: tuple[float, ...], reports: Reports, usual: float, now: float) -> None:
         """Take over a load report. Every answer repeats the last one; only another one is news."""
-        if report != self.report:
+        if report != self.report and (others := reports.others(report, self.out, usual)) is not None:
             gap, self.report, self.report_at = now - self.report_at, report, now
-            self.others = max(0.0, inflight - self.out - 1)  # the answered one was in there
+            self.others = others
             # By time, not by report: where they are seldom, one says as much as many do.
             self.others_mean += (1 - 0.5 ** (gap / MEAN_HALF)) * (self.others - self.others_mean)
             self.kin.reported(self.others)
@@ -94,22 +95,21 @@
 
 
 class Customer:
-    def __init__(self, plan: int, level: float, now: float, born: float) -> None:
-        self.plan, self.level, self.seen = plan, level, now  # units left in its store, as far as known here
+    def __init__(self, number: int, plan: api.Plan, now: float, born: float) -> None:
+        self.plan, self.seen = number, now
+        self.store = Store(plan.rate, plan.burst, now)  # of its quota, as far as known here
         self.ceiling, self.ceiling_at = 0.0, born
-        self.first, self.spread, self.keeper, self.out = 0, 1, -1, 0
-        self.rate = 0.0  # of the arrivals known here: its own and, as keeper, those reported
+        self.first, self.spread, self.out = 0, 1, 0
+        self.rate = 0.0  # of the arrivals here
         self.arrived = self.spent = 0.0  # units, ever: asked for and let in here
-        self.reported, self.told_spent = NEVER, 0.0  # last report, and what it said was spent
-        self.word, self.total, self.others = NEVER, 0.0, 0  # keeper's: rate of all, out elsewhere
-        self.mood, self.mood_at = 1.0, NEVER  # as keeper: the chance last told to all
         self.told: dict[int, tuple[int, int, int]] = {}  # by peer: its life, arrived, spent
         self.outs: dict[int, tuple[float, int]] = {}  # by peer: when, attempts out
+        self.told_at = NEVER  # the last message of a peer that spoke of it
+        self.asked = self.spending = 0.0  # then: decayed rates of what the others were asked for, and let in
         self.own, self.own_at = 0.0, NEVER  # decayed rate of what was let in here, at the last time
         self.unsaid = 0.0  # units let in that the counter was not told
         self.calling: tuple[int, float] | None = None  # epoch and amount of the call that is out
         self.epoch, self.counted, self.heard = -1, 0.0, NEVER  # last total, of which epoch, and when
-        self.over = 0.0  # units that ran over the full store since then
         self.rest = 0.0  # decayed rate of what the others let in, by the counter
         self.used, self.used_at = 0.0, NEVER  # the meter's last word: use by all, as a part of the quota
         self.waiting: list[int] = []  # requests held for the counter's answer
@@ -121,13 +121,9 @@
             return False
         return plan.ceiling_rate * gap >= plan.ceiling_burst
 
-    def word_of(self, key: int) -> Word:
-        return Word(key, self.plan, self.out + sum(n for _, n in self.outs.values()), self.rate, self.level)
-
-    def report_of(self, key: int) -> Report:
+    def report_of(self, key: int, now: float) -> Report:
         """Sums, not differences: what is lost is healed by the next report."""
-        self.told_spent, sums = self.spent, (whole(self.arrived), whole(self.spent))
-        return Report(key, self.plan, self.out, self.first, self.spread, *sums, self.level)
+        return Report(key, self.plan, self.out, whole(self.arrived), whole(self.spent), self.store.left(now))
 
 
 class Memory:
@@ -154,11 +150,10 @@
         self.tidied = now
         self.failures, self.mute = 0.0, NEVER  # failed calls to the counter in a row; until when none is made
         self.customers: dict[int, Customer] = {}
-        self.short: dict[int, None] = {}  # customers kept here that are not let in freely
-        self.mail: dict[int, dict[int, bool]] = {}  # by peer: customers to tell of, and whether as keeper
-        self.mailing, self.mailed, self.heard = False, now, now
-        self.owed: dict[int, int] = {}  # by peer: messages to it since its last one
-        self.silent: dict[int, float] = {}  # by peer: until when others keep its customers
+        self.mail: dict[int, dict[int, None]] = {}  # by peer: customers to tell of
+        self.mailing, self.mailed, self.last_heard = False, now, NEVER
+        self.heard: dict[int, float] = {}  # by peer: its last message
+        self.sent_at: dict[int, float] = {}  # by peer: the last message to it
         self.lives: dict[int, int] = {}  # a peer's mark of its present life
         self.life = self.rng.randrange(256)
         self.token = 0
@@ -188,7 +183,7 @@
             }
         elif len(self.customers) > MANY:  # those long idle, with full stores, are as good as new
             kept = {k: c for k, c in self.customers.items() if c.seen > self.now - IDLE or c.out}
-            self.customers, self.mail, self.short = kept, {}, {}
+            self.customers, self.mail = kept, {}
 
     def timer(self, at: float, then: Callable[..., None], *about: int) -> None:
         self.token = self.token % 0xFFFFFFFF + 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,8 +12,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dockthread import admission, api, attempts, mail, message, rules, sketch
+from dockthread import admission, api, attempts, message, rules, sketch
 from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread.belief import Reports
+from dockthread.ledger import Store
 from dockthread.sketch import Sketch
 
 SAFE, KEYED, UNSAFE = 0, 1, 2
@@ -202,24 +204,85 @@
     assert spread_out(fleet(40), 40, 1.0) == pytest.approx(1.0, abs=0.05)
 
 
-def test_another_keeps_the_customers_of_a_silent_gateway() -> None:
+@pytest.mark.parametrize("down", [frozenset(), frozenset({"counter"}), frozenset({"messages"})])
+def test_with_messages_and_counter_use_is_counted_once_and_held_by_either_alone(down: frozenset[str]) -> None:
+    """Three gateways under one clock, of a customer that asks four times its quota: what each source tells is the
+    same use, and taken off twice it would halve the quota (so it was where both were allowed)."""
+    drives, total, rng = fleet(3, may_count=True), 0.0, random.Random(8)
+    passed, calls, start, names = 0, 0, drives[0].now, dict[int, float]()
+
+    def answer(drive: Drive, actions: list[api.Action]) -> None:
+        nonlocal calls, total
+        for action in actions:
+            if isinstance(action, api.Count):
+                calls += 1
+                if "counter" in down:
+                    answer(drive, drive.give(api.Counted(action.name, Outcome.TIMEOUT)))
+                else:
+                    names[action.name] = names.get(action.name, 0.0) + action.amount
+                    answer(drive, drive.give(api.Counted(action.name, Outcome.OK, names[action.name])))
+
+    while drives[0].now < start + 90:
+        for drive in drives:
+            drive.run(drive.now + 1 / 8)
+        if "messages" in down:
+            for drive in drives:
+                drive.told.clear()
+        else:
+            exchange(drives, rng)  # one in five is lost
+        drive = rng.choice(drives)
+        drive.next += 1
+        answer(drive, drive.give(api.RequestArrived(drive.next, UNSAFE, RATE, 7, 4.0, 1.0, 3, 0)))
+        if drive.let_in(drive.next):
+            passed += 1
+            drive.end(drive.next, 0, Outcome.OK)
+    assert passed / 90 == pytest.approx(2.0, rel=0.2)
+    assert calls < 10 if "messages" not in down else calls > 50, "the counter is asked where messages fail only"
+
+
+@pytest.mark.parametrize(
+    ("told", "left"),
+    [
+        ([("messages", 3.0)], 5.0),
+        ([("counter", 3.0)], 5.0),
+        ([("messages", 3.0), ("counter", 3.0)], 5.0),
+        ([("counter", 3.0), ("messages", 3.0)], 5.0),
+        ([("messages", 1.0), ("counter", 3.0), ("messages", 2.0), ("counter", 1.0)], 4.0),
+        ([("messages", 2.0), ("messages", 2.0), ("counter", 3.0), ("counter", 1.0)], 4.0),
+        ([("messages", 50.0), ("counter", 50.0)], 0.0),
+    ],
+)
+def test_a_store_takes_what_both_sources_tell_once(told: list[tuple[str, float]], left: float) -> None:
+    store = Store(2.0, 8.0, 0.0)
+    for source, units in told:
+        (store.messages_told if source == "messages" else store.counter_told)(units, 0.0)
+    assert store.level == pytest.approx(left)
+
+
+def test_a_silent_gateway_is_no_longer_taken_to_tell_all() -> None:
     drives = fleet(3)
-    key = 11
-    c = drives[0].gateway._customer(key, RATE)
+    c = drives[0].gateway._customer(11, RATE)
     c.spread = 3
-    first = drives[0].gateway._keeper(key, c)
-    other = next(d for n, d in enumerate(drives) if n != first)
-    for _ in range(mail.SILENT_AFTER + 2):
-        other.ask(SAFE, RATE, customer=key, spread=3)
-        other.run(other.now + 0.2)
-    assert other.gateway.customers[key].keeper != first
+
+    def pass_time(until: float, heard: list[Drive]) -> None:
+        while drives[0].now < until:
+            for drive in drives:
+                drive.run(drive.now + 0.1)
+            for drive in drives:
+                if drive not in heard:
+                    drive.told.clear()
+            exchange(drives)
+
+    pass_time(drives[0].now + 5, drives)
+    assert drives[0].gateway._hears(c), "with nothing to tell, that is told"
+    pass_time(drives[0].now + 3, drives[:2])
+    assert not drives[0].gateway._hears(c)
 
 
 def test_who_starts_again_is_told_whose_quota_is_used_up() -> None:
     drives = fleet(8)
     spread_out(drives, 20, 8.0)
-    keeper = drives[0].gateway.customers[7].keeper
-    new = (keeper + 3) % 8
+    new = 3
     again = Drive(replace(BASE, gateways=8, number=new), seed=99)
     again.now = drives[0].now
     drives[new] = again
@@ -227,7 +290,7 @@
         for drive in drives:
             drive.run(drive.now + 0.05)
         exchange(drives)
-    assert again.gateway.customers[7].total > PLANS[RATE].rate
+    assert again.gateway.customers[7].store.level < 0.75 * PLANS[RATE].burst
 
 
 def test_dear_class_gets_more_of_a_short_quota() -> None:
@@ -246,7 +309,7 @@
     drive = Drive(replace(BASE, settles_units=True))
     request = drive.ask(UNSAFE, RATE, units=1.0)
     drive.end(request, 0, Outcome.OK, true_units=5.0)
-    assert drive.gateway.customers[7].level == pytest.approx(3.0)
+    assert drive.gateway.customers[7].store.level == pytest.approx(3.0)
 
 
 def test_cap_on_attempts_out_counts_own_and_told() -> None:
@@ -472,31 +535,24 @@
     key: int, plan: int, arrived: float, spent: float, left: float, out: int = 0, life: int = 1
 ) -> bytes:
     sums = message.whole(arrived), message.whole(spent)
-    return message.pack(life, [], [], [message.Report(key, plan, out, 0, 2, *sums, left)])
-
-
-def word(key: int, plan: int, rate: float, left: float, out: int = 0) -> bytes:
-    return message.pack(1, [], [message.Word(key, plan, out, rate, left)], [])
+    return message.pack(life, [], [message.Report(key, plan, out, *sums, left)])
 
 
 def test_spending_told_is_taken_from_the_store_once() -> None:
     drive = Drive()
     for arrived in (1.0, 2.0, 2.0):
         drive.give(api.PeerSaid(1, report(7, RATE, arrived, arrived, 8.0 - arrived)))
-    assert drive.gateway.customers[7].level == pytest.approx(6.0)
+    assert drive.gateway.customers[7].store.level == pytest.approx(6.0)
     drive.give(api.PeerSaid(1, report(7, RATE, 1.5, 1.5, 8.0, life=2)))  # it started again
-    assert drive.gateway.customers[7].level == pytest.approx(4.5)
+    assert drive.gateway.customers[7].store.level == pytest.approx(4.5)
 
 
 @pytest.mark.parametrize("bad", [math.inf, -math.inf, math.nan])
 def test_absurd_figures_change_nothing(bad: float) -> None:
     drive = Drive()
-    head = message.HEAD.pack(message.VERSION, 1, 0, 1)
-    drive.give(api.PeerSaid(1, head + message.WORD.pack(7, RATE, 0, 1.0, bad)))
-    drive.give(api.PeerSaid(1, head + message.WORD.pack(7, RATE, 0, bad, 1.0)))
-    head = message.HEAD.pack(message.VERSION, 1, 0, 0)
-    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, RATE, 0, 0, 2, 9, 9, bad)))
-    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, 200, 0, 0, 2, 9, 9, 1.0)))
+    head = message.HEAD.pack(message.VERSION, 1, 0)
+    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, RATE, 0, 9, 9, bad)))
+    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, 200, 0, 9, 9, 1.0)))
     drive.give(api.PeerSaid(5, report(7, RATE, 9.0, 9.0, 0.0)))
     assert 7 not in drive.gateway.customers
 
@@ -557,7 +613,7 @@
 def test_suspicion_is_told() -> None:
     drive = Drive()
     w = drive.gateway.workers[1001]
-    drive.give(api.PeerSaid(1, message.pack(1, [(w.code, 0.8)], [], [])))
+    drive.give(api.PeerSaid(1, message.pack(1, [(w.code, 0.8)], [])))
     assert w.failed == pytest.approx(0.8, abs=0.01)
 
 
@@ -597,15 +653,11 @@
 
 
 def test_told_attempts_out_count_against_the_cap() -> None:
-    kept, other = Drive(), Drive()
-    kept.give(api.PeerSaid(1, report(7, 3, 2.0, 2.0, 0.0, out=2)))
-    kept.give(api.PeerSaid(1, report(6, 3, 2.0, 2.0, 0.0, out=2)))
-    other.give(api.PeerSaid(1, word(7, 3, 0.1, 0.0, out=2)))
-    other.give(api.PeerSaid(1, word(6, 3, 0.1, 0.0, out=2)))
-    keys = [k for k in (6, 7) if kept.gateway._keeper(k, kept.gateway.customers[k]) == 0]
-    for key in (6, 7):
-        drive = kept if key in keys else other
-        assert not drive.let_in(drive.ask(SAFE, 3, customer=key, spread=2))
+    drive = Drive()
+    drive.give(api.PeerSaid(1, report(7, 3, 2.0, 2.0, 0.0, out=2)))
+    assert not drive.let_in(drive.ask(SAFE, 3, customer=7, spread=2))
+    drive.give(api.PeerSaid(1, report(7, 3, 2.0, 2.0, 0.0, out=0)))
+    assert drive.let_in(drive.ask(SAFE, 3, customer=7, spread=2))
 
 
 def test_list_that_failed_is_asked_for_again() -> None:
@@ -632,7 +684,7 @@
 def test_a_start_does_not_fill_the_stores() -> None:
     drive = Drive()
     drive.give(api.PeerSaid(1, report(7, RATE, 500.0, 400.0, 1.0)))
-    assert drive.gateway._customer(7, RATE).level <= 1.0
+    assert drive.gateway._customer(7, RATE).store.level <= 1.0
 
 
 # --- what all gateways share: the counter and the meter; and what is forgotten ---
@@ -767,6 +819,44 @@
     return sent
 
 
+@pytest.mark.parametrize(
+    ("names", "report", "others"),
+    [
+        (("rif", "rate", "q"), (7.0, 30.0, 2.0), 4.0),  # less two out here, and the one that was answered
+        (("busy",), (0.9,), 0.9),  # the whole of its cores counts as one request
+        (("busy", "q"), (0.9, 4.0), 4.9),
+        (("rate",), (40.0,), 2.0),  # 40 a second at 0.1 s each are 4
+        (("lat_ms", "fail_rate"), (350.0, 0.0), 1.5),
+        (("q",), (5.0,), 5.0),
+        (("fail_rate",), (0.1,), None),
+        ((), (), None),
+    ],
+)
+def test_any_load_report_tells_of_the_others(
+    names: tuple[str, ...], report: tuple[float, ...], others: float | None
+) -> None:
+    told = Reports(names).others(report, 2, 0.1)
+    assert told == (others if others is None else pytest.approx(others))
+
+
+@pytest.mark.parametrize("names", [("busy",), ()])
+def test_choice_by_use_alone_and_by_no_report(names: tuple[str, ...]) -> None:
+    drive = Drive(replace(BASE, load_names=names))
+    use = {1000: 0.9, 1001: 0.3, 1002: 0.3}
+    sent = dict.fromkeys(use, 0)
+    for n in range(600):
+        drive.run(drive.now + 0.05)
+        request = drive.ask(UNSAFE)
+        worker = drive.sent[request][0].worker
+        sent[worker] += n >= 100
+        load = (use[worker] + n % 7 / 1000,) if names else ()
+        drive.run(drive.now + 0.05)
+        drive.give(api.AttemptEnded(request, 0, worker, Outcome.OK, True, 0.05, load=load))
+    if names:
+        assert sent[1000] < min(sent[1001], sent[1002]) / 2, "the busy one gets less"
+    assert all(sent.values()), "and each gets some"
+
+
 def test_what_the_others_have_at_a_worker_counts_as_load() -> None:
     even = {1000: 0.1, 1001: 0.1}
     sent = chosen(Drive(REPORTS, workers=2), {1000: 12.0, 1001: 1.0}, even)
@@ -818,4 +908,4 @@
         drive.gateway._customer(7, RATE)
         drive.gateway._call(7, c)
         drive.give(api.Counted(call.name, Outcome.OK, c.counted + others))
-        assert c.level == pytest.approx(left, abs=1.5)
+        assert c.store.level == pytest.approx(left, abs=1.5)
