Send messages between ingresses over UDP, and suspect a node later and on own evidence

Ruled out: the UDP path itself (median 0.5 ms to the first attempt, nothing lost). At fault: attempts._late (evidence at four deviations, which one healthy exponential answer in fifty takes) and mail._said (the greater of what both say, told back and forth so that it never fades).

--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -16,6 +16,7 @@
 SUSPECTED = 0.35  # failed part of a worker that asks for copies
 FULL_FOR, FULL_MOST = 0.2, 3.0  # s for which a worker that turned an attempt away is full; doubled, at most
 LATE_DEVIATIONS = 4.0  # an answer missing for the usual time and so many usual deviations is late
+SILENT_DEVIATIONS = 9.0  # after so many its worker is suspected: one usual answer in 2,000 takes longer
 DONE_OVER, MOST_CHANCE = 4.0, 5  # fall times over which answers are averaged; attempts out that say nothing
 HALF = 0.45  # part of its time after which a request that no worker could be given ends
 PRESSED, ADVICE = 0.5, 0.25  # of a class's aim: expected wait that refuses; wait advised to the refused
@@ -59,14 +60,28 @@
         return True
 
     def _late(self, request: int, number: int) -> None:
-        """Evidence against a worker silent since; what may be repeated is copied, or called back."""
+        """At a suspected worker what may be repeated is copied, or called back; others have some time."""
         call = self.calls.get(request)
         if call is None or request in self.streaming or not (attempt := call.attempts[number]).out:
             return
-        w, attempt.late = self.workers[attempt.worker], True
+        attempt.late = True
         self.out -= 1  # lost, it says nothing of a jam; at its worker it is out all the same
+        usual, deviation = self.usual[call.ask.request_class]
+        self.timer(attempt.sent + usual + SILENT_DEVIATIONS * deviation, self._silent, request, number)
+        self._help(request, call, number)
+
+    def _silent(self, request: int, number: int) -> None:
+        """Evidence against a worker that answered nothing since."""
+        call = self.calls.get(request)
+        if call is None or request in self.streaming or not (attempt := call.attempts[number]).out:
+            return
+        w = self.workers[attempt.worker]
         if w.answered < attempt.sent:
             w.failed += 2 * FAIL_STEP * (1 - w.failed)
+            self._help(request, call, number)
+
+    def _help(self, request: int, call: Call, number: int) -> None:
+        w = self.workers[call.attempts[number].worker]
         if self._repeats(call) and len(call.attempts) < 2 and w.failed >= SUSPECTED and self._may_copy(call):
             if self.s.second_copies and not self._try(request, call):
                 del self.held[request]
--- a/dockthread/mail.py
+++ b/dockthread/mail.py
@@ -19,7 +19,8 @@
 ROUND_LEAST, ROUND_MOST = 0.02, 0.25  # s between the first news and its round of mail
 BEAT, BEAT_ROUNDS, SILENT_BEATS = 0.5, 8, 3  # s, or rounds of all, between messages; beats without one: silent
 CLOSE = 0.25  # of a plan's window: the oldest news by which the others' use counts as known
-NOTED, MOST_TOLD = 0.1, 3  # failed part of a worker that is told; most told
+NOTED, MOST_TOLD = 0.4, 3  # failed part of a worker that is told; most told
+TRUST = 2.0  # s after its last answer here in which what others say of a worker counts for nothing
 SHORT = 0.9  # of a burst: what is left less than this of is told to one that began anew
 
 
@@ -113,7 +114,8 @@
             return
         self.heard[e.peer] = self.last_heard = self.now
         for code, failed in told.suspects:
-            if suspect := self.codes.get(code):
+            suspect = self.codes.get(code)
+            if suspect and self.now - suspect.answered > TRUST:
                 suspect.failed = max(suspect.failed, failed)
         if self.lives.get(e.peer) != told.life:  # it started: it is to know whose quota is used up
             self.lives[e.peer] = told.life
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -25,6 +25,7 @@
 from dockthread.net.inbound import Inbound, Slot
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.outbound import Outbound, OutboundCall
+from dockthread.net.peers import Peers
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
 from dockthread.ops import retune
 from dockthread.rules import Gateway
@@ -91,9 +92,10 @@
         self._loop = asyncio.get_running_loop()
         module = config.module
         self.vocabulary = resp.Vocabulary(config.names, module.classes, module.gateways, config.most_units)
-        # Without a counter there is none to call, whatever the settings allow.
+        # Without a counter there is none to call, and without addresses nobody to tell, whatever is allowed.
         counts = module.may_count and config.counter is not None
-        module = replace(module, may_count=counts, ahead=clock.unix_offset / 1000.0)
+        tells = module.may_tell and config.peers is not None
+        module = replace(module, may_count=counts, may_tell=tells, ahead=clock.unix_offset / 1000.0)
         self.gateway = Gateway(module, config.seed, clock.now() / 1000.0)
         self._tick = max(1.0, config.module.tick * 1000.0)
         self._advice = config.module.most_advice * 1000.0
@@ -139,6 +141,7 @@
             self.at,
             timeout=config.counter_timeout,
         )
+        self.peers = Peers(config.peers if tells else None, module.number, self._tell, self.traffic)
         self.observe(self.observer)
         self.routes: Routes | None = None
         self._carry_out: dict[type, Callable[[Any], None]] = {
@@ -148,6 +151,7 @@
             api.Cancel: self._cancel,
             api.SetTimer: self._set_timer,
             api.Count: lambda action: self.counter.call(action.name, action.amount, action.life * 1000.0),
+            api.Tell: self.peers.tell,
             api.AskForList: lambda action: None,  # the watch stands anyway
         }
 
@@ -213,6 +217,7 @@
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
         listener = self._listen()
+        self.peers.open()
         self._tell(self.destinations.apply(self.config.known, cached=True))
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
@@ -230,6 +235,7 @@
             self._empty_backlog(listener)
             listener.close()
             self.lifecycle.enter(Phase.DRAINING)
+            self.peers.close()  # nothing new is let in; at an upgrade the next process takes the address
             for connection in list(self._inbound):
                 connection.close_if_done()
             # By then all is answered; what still stands is a client that does not read.
@@ -246,6 +252,7 @@
             listener.close()
             self.outbound.close()
             self.counter.close()
+            self.peers.close()
             self.lifecycle.enter(Phase.STOPPED)
 
     def _listen(self) -> socket.socket:
@@ -333,6 +340,7 @@
         self.destinations.tidy()
         self.watch.check()
         self.counter.check()
+        self.peers.open()
         # Few requests live that long: a timer for each from its start cost a wake-up for nothing.
         for request in self.requests.values():
             if request.deadline <= now + GUARDED and not request.guarded:
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -21,6 +21,9 @@
         "client_out",
         "clients_opened",
         "copies",
+        "messages_in",
+        "messages_odd",
+        "messages_out",
         "node_in",
         "node_out",
         "nodes_opened",
@@ -33,6 +36,8 @@
         self.calls = self.copies = 0  # outbound calls begun; of them, while an earlier one was out
         self.client_in = self.client_out = self.node_in = self.node_out = 0
         self.clients_opened = self.nodes_opened = 0
+        self.messages_in = self.messages_out = 0  # of other ingresses, and to them
+        self.messages_odd = 0  # from nobody known, or too long
         self.spoilt = 0  # commands that could not be served
         self.tries = 0  # outbound calls whose last byte went out
         # Final answers by outcome and by the module's number of their class; `grow` as classes are added.
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -45,10 +45,10 @@
             raise SettingsError(f"not an address, host:port: {text!r}")
         return cls(host, int(port))
 
-    def new_socket(self) -> socket.socket:
+    def new_socket(self, kind: int = socket.SOCK_STREAM) -> socket.socket:
         """A socket of this address's family, for the loop: it never blocks."""
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
-        return socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        return socket.socket(family, kind | socket.SOCK_NONBLOCK)
 
     def listener(self, backlog: int) -> socket.socket:
         """A socket that listens here, for the loop; raises OSError where it cannot, and then holds nothing."""
@@ -66,6 +66,15 @@
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAddresses:
+    """Where the ingresses of the tier hear each other: `peers` by number, this one's own among them."""
+
+    listen: Address
+    peers: tuple[Address, ...]
+    everyone: Address | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that one ingress is told at its start. Times are in milliseconds but for the module's settings."""
@@ -81,6 +90,7 @@
     memory_mb: float = 192.0
     most_units: int = 1_000_000
     counter: Address | None = None
+    peers: PeerAddresses | None = None
     counter_timeout: float = 50.0
     conn_idle: float = 15_000.0
     connect_timeout: float = 250.0
@@ -137,6 +147,7 @@
         memory_mb=float(machine.get("memory_mb", 192.0)),
         most_units=int(domain.get("Largest", 1_000_000)),
         counter=Address.parse(raw["counter"]) if raw.get("counter") else None,
+        peers=_peers(raw, settings["ReplicasOfMe"]),
         counter_timeout=domain.get("CounterTimeout", SECOND / 20) / MILLISECOND,
         conn_idle=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
         connect_timeout=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
@@ -146,6 +157,16 @@
     )
 
 
+def _peers(raw: dict[str, Any], gateways: int) -> PeerAddresses | None:
+    listen, peers, everyone = raw.get("peer_listen"), raw.get("peers"), raw.get("peers_all")
+    if not listen or not peers:
+        return None
+    if not isinstance(peers, list) or len(peers) != gateways:
+        raise SettingsError(f"peers is {peers!r}; a list of {gateways} addresses, as settings.ReplicasOfMe, would do")
+    every = Address.parse(everyone) if everyone else None
+    return PeerAddresses(Address.parse(listen), tuple(map(Address.parse, peers)), every)
+
+
 def read_for_check(path: str) -> tuple[api.Settings, Names]:
     """Settings and names of a file: the platform's configuration, or its `settings` alone. Raises SettingsError."""
     try:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dockthread import admission, api, attempts, message, rules, sketch
+from dockthread import admission, api, attempts, mail, message, rules, sketch
 from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
 from dockthread.belief import Reports
 from dockthread.ledger import Store
@@ -481,6 +481,30 @@
     assert after - before < 50 / 5 / 2  # less than half of an even part
 
 
+def test_an_answer_that_takes_longer_than_most_says_nothing_against_its_worker() -> None:
+    """Usual answers take 0.2 s, give or take 0.1 s: one in fifty takes four times that longer, one in 2,000 nine."""
+    drive = Drive(replace(BASE, second_copies=False))
+    request = drive.ask(UNSAFE)
+    w = drive.gateway.workers[drive.sent[request][0].worker]
+    drive.run(drive.now + 0.2 + 8 * 0.1)
+    assert w.failed == 0.0
+    drive.run(drive.now + 0.2)
+    assert w.failed > 0.4, "silent by now"
+
+
+def test_what_others_say_of_a_worker_counts_only_where_it_is_silent_here() -> None:
+    drive = Drive()
+    request = drive.ask(UNSAFE)
+    w = drive.gateway.workers[drive.sent[request][0].worker]
+    drive.end(request, 0, Outcome.OK)
+    said = api.PeerSaid(1, message.pack(1, [(w.code, 0.8)], []))
+    drive.give(said)
+    assert w.failed == 0.0
+    drive.run(drive.now + mail.TRUST + 0.1)
+    drive.give(said)
+    assert w.failed == pytest.approx(0.8, abs=0.01)
+
+
 def test_failing_worker_is_shunned_and_comes_back() -> None:
     drive = Drive(workers=5)
 
