--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,197 @@
+"""What holds for any deployment: several gateways together under one clock, over drawn settings. No bench."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from dockthread import api
+from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread.rules import Gateway
+
+SECONDS = 24.0
+STEP = 0.01
+
+
+class World:
+    """Gateways, their workers, a counter and the way between them, on one clock."""
+
+    def __init__(self, base: api.Settings, seed: int, lost: float = 0.06, counter: bool = True) -> None:
+        self.rng, self.now, self.lost, self.counter = random.Random(seed), 1000.0, lost, counter
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.count, self.calls = 0, 0
+        self.totals: dict[int, float] = defaultdict(float)
+        self.final: dict[tuple[int, int], list[str]] = {}
+        self.units: dict[tuple[int, int], float] = {}
+        self.sent = list[tuple[float, int, int, float]]()  # first sends: when, gateway, request, units
+        self.firsts = set[tuple[int, int]]()
+        self.recent = list[tuple[float, float]]()
+        self.gateways = [Gateway(replace(base, number=n), seed * 31 + n, self.now) for n in range(base.gateways)]
+        entries = tuple(api.WorkerEntry(100 + n, WorkerState.READY, n % 2, 0, n % 2, 1.0) for n in range(6))
+        for n in range(base.gateways):
+            self.give(n, api.WorkersListed(ListKind.CACHED, entries))
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (when, self.count, what))
+
+    def run(self, until: float) -> None:
+        while self.due and self.due[0][0] <= until:
+            self.now, _, what = heapq.heappop(self.due)
+            what()
+        self.now = until
+
+    def give(self, n: int, event: api.Event) -> None:
+        for action in self.gateways[n].handle(self.now, event):
+            self.act(n, action)
+
+    def act(self, n: int, action: api.Action) -> None:
+        match action:
+            case api.Send(request, worker, _):
+                self.send(n, request, worker)
+            case api.Refuse(request) | api.Fail(request):
+                self.final[n, request].append("no")
+            case api.SetTimer(at, token):
+                self.at(at, lambda: self.give(n, api.TimerFired(token)))
+            case api.Tell(data, peer) if peer is not None and self.rng.random() >= self.lost:
+                self.at(self.now + self.rng.uniform(0.001, 0.014), lambda: self.give(peer, api.PeerSaid(n, data)))
+            case api.Count(name, amount, _):
+                self.calls += 1
+                self.totals[name] += amount if self.counter else 0.0
+                end = api.Counted(name, Outcome.OK, self.totals[name])
+                if not self.counter:
+                    end = api.Counted(name, Outcome.TIMEOUT)
+                self.at(self.now + (0.002 if self.counter else 0.05), lambda: self.give(n, end))
+
+    def send(self, n: int, request: int, worker: int) -> None:
+        s = self.gateways[n].s
+        if (n, request) not in self.firsts:
+            self.firsts.add((n, request))
+            self.sent.append((self.now, n, request, self.units[n, request]))
+        took = self.rng.expovariate(1 / 0.06)
+        load = tuple(0.4 for _ in s.load_names) if s.load_in_answers else ()
+
+        def answer() -> None:
+            done = self.final[n, request]
+            if not done:
+                done.append("served")
+            used = None
+            if s.meter_period:
+                spent = sum(u for t, _, _, u in self.sent if self.now - 1.5 < t <= self.now - 0.5)
+                used = spent / max(s.plans[0].rate, 1e-9)
+            event = api.AttemptEnded(request, 0, worker, Outcome.OK, True, took, metered=used, load=load)
+            self.give(n, event)
+
+        self.at(self.now + took, answer)
+
+    def ask(self, n: int, units: float, cls: int, spread: int) -> None:
+        self.count += 1
+        key = (n, self.count)
+        self.final[key], self.units[key] = [], units
+        self.give(n, api.RequestArrived(self.count, cls, 0, 7, 2.0, units, spread, 0))
+
+
+CLASSES = (
+    api.RequestClass(0.6, 2.0, worth=1, effect=Effect.SAFE),
+    api.RequestClass(0.6, 2.5, worth=3, effect=Effect.KEYED, group=Group.ZONE, window=2.5),
+    api.RequestClass(0.6, 2.5, worth=2, effect=Effect.UNSAFE),
+)
+FIELDS = ("rif", "busy", "rate", "lat_ms", "q", "fail_rate")
+
+
+def deployments() -> st.SearchStrategy[api.Settings]:
+    def made(
+        gateways: int,
+        tell: bool,
+        count: bool,
+        meter: bool,
+        rate: float,
+        store: float,
+        names: list[str],
+        ceiling: bool,
+    ) -> api.Settings:
+        plan = api.Plan(rate=rate, burst=max(8.0, rate * store), over_cost=0.6)
+        if ceiling:
+            twice = 2 * plan.rate, 2 * plan.burst
+            plan = replace(plan, ceiling_rate=twice[0], ceiling_burst=twice[1], ceiling_slack=4.0)
+        return api.Settings(
+            number=0, gateways=gateways, classes=CLASSES, plans=(plan,), most_attempts=3, may_cancel=True,
+            safety=api.Safety(0.016, 0.25, 0.2, 16.0, 3.0, 2.0), may_tell=tell, may_count=count,
+            meter_period=1.0 if meter else 0.0, largest_units=4, load_names=tuple(names[:4]),
+            load_in_answers=bool(names), tick=0.004,
+        )  # fmt: skip
+
+    return st.builds(
+        made,
+        st.integers(1, 4),
+        st.booleans(),
+        st.booleans(),
+        st.booleans(),
+        st.sampled_from([4.0, 10.0, 30.0]),
+        st.sampled_from([1.0, 2.0, 4.0]),
+        st.lists(st.sampled_from(FIELDS), unique=True),
+        st.booleans(),
+    )
+
+
+def demand(world: World, spread: int, times: float) -> Iterator[tuple[int, float, int]]:
+    """Requests of one customer at `times` its quota, uneven over its gateways."""
+    plan = world.gateways[0].s.plans[0]
+    weights = [1.0 / (n + 1) for n in range(spread)]
+    rate, start = times * plan.rate / 2.0, world.now  # requests of 2 units on average
+    while world.now < start + SECONDS:
+        world.run(world.now + world.rng.expovariate(rate))
+        n = world.rng.choices(range(spread), weights)[0]
+        yield n, world.rng.choice([1.0, 2.0, 3.0]), world.rng.randrange(3)
+
+
+@settings(max_examples=40, deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow])
+@given(deployments(), st.integers(1, 1000))
+def test_the_quota_is_used_and_kept_and_each_request_has_one_answer(s: api.Settings, seed: int) -> None:
+    """Three times the quota is asked. Where the others' use is told, by messages or counter, all gateways together
+    let in 0.7 to 1.25 of the quota; else half of it at least, as an even split strands what the idle ones hold."""
+    world, plan, spread = World(s, seed), s.plans[0], s.gateways
+    for n, units, cls in demand(world, spread, 3.0):
+        world.ask(n, units, cls, spread)
+    let_in = sum(units for _, _, _, units in world.sent)
+    quota = plan.burst + plan.rate * SECONDS
+    told = spread == 1 or s.may_tell or s.may_count
+    assert let_in <= 1.25 * quota + s.largest_units * spread
+    assert let_in >= (0.7 if told else 0.5) * quota - s.largest_units * spread
+    world.run(world.now + 4.0)
+    assert all(len(final) == 1 for final in world.final.values())
+
+
+@settings(max_examples=25, deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow])
+@given(deployments(), st.integers(1, 1000))
+def test_a_ceiling_is_never_passed_whoever_is_heard(s: api.Settings, seed: int) -> None:
+    rate, burst = 3.0, 24.0  # so that the ceiling binds before the quota
+    plan = replace(s.plans[0], rate=60.0, burst=200.0, ceiling_rate=rate, ceiling_burst=burst, ceiling_slack=4.0)
+    world = World(replace(s, plans=(plan,)), seed, lost=0.2)
+    for n, units, cls in demand(world, s.gateways, 0.4):
+        world.ask(n, units, cls, s.gateways)
+    level, at = burst, 1000.0
+    for when, _, _, units in world.sent:
+        level, at = min(burst, level + rate * (when - at)) - units, when
+        assert level >= -plan.ceiling_slack
+
+
+@pytest.mark.parametrize("tell", [True, False])
+def test_a_cap_and_a_rate_on_one_plan_both_hold(tell: bool) -> None:
+    plan = api.Plan(rate=20.0, burst=40.0, most_out=3)
+    s = api.Settings(0, 3, CLASSES, (plan,), most_attempts=3, may_tell=tell, may_count=True, largest_units=4)
+    world, spans = World(s, 4), list[tuple[float, float]]()
+    for n, units, cls in demand(world, 3, 3.0):
+        world.ask(n, units, cls, 3)
+        spans.append((world.now, sum(c.out for g in world.gateways for c in g.customers.values())))
+    over = sum(out > plan.most_out for _, out in spans) / len(spans)
+    assert sum(u for *_, u in world.sent) <= 1.25 * (plan.burst + plan.rate * SECONDS)
+    assert over < (0.12 if tell else 1.0), "attempts out are told"
+    assert max(out for _, out in spans) >= plan.most_out, "and the cap is used"
