Give the example a second deployment's form, and test what a time and a key follow

Need: the example was one site's, and a new deployment could not see what it has to state. Change: example/formosa.json (two halls, keys that one hall drops, a cap beside a quota, messages, a counter, `busy` alone), read whole by a test as config.json is; tests that evidence of silence follows the class's aim, and that a key is repeated within its own hall and time only.

--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import heapq
+import json
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -15,24 +17,26 @@
 from dockthread import api
 from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
 from dockthread.rules import Gateway
+from dockthread.settings import read_config
 
 SECONDS = 24.0
-STEP = 0.01
 
 
 class World:
     """Gateways, their workers, a counter and the way between them, on one clock."""
 
-    def __init__(self, base: api.Settings, seed: int, lost: float = 0.06, counter: bool = True) -> None:
+    def __init__(
+        self, base: api.Settings, seed: int, lost: float = 0.06, counter: bool = True, answers: bool = True
+    ) -> None:
+        self.answers, self.tried = answers, list[int]()  # whether workers answer; which had an attempt
         self.rng, self.now, self.lost, self.counter = random.Random(seed), 1000.0, lost, counter
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.count, self.calls = 0, 0
+        self.count = 0
         self.totals: dict[int, float] = defaultdict(float)
         self.final: dict[tuple[int, int], list[str]] = {}
         self.units: dict[tuple[int, int], float] = {}
         self.sent = list[tuple[float, int, int, float]]()  # first sends: when, gateway, request, units
         self.firsts = set[tuple[int, int]]()
-        self.recent = list[tuple[float, float]]()
         self.gateways = [Gateway(replace(base, number=n), seed * 31 + n, self.now) for n in range(base.gateways)]
         entries = tuple(api.WorkerEntry(100 + n, WorkerState.READY, n % 2, 0, n % 2, 1.0) for n in range(6))
         for n in range(base.gateways):
@@ -63,7 +67,6 @@
             case api.Tell(data, peer) if peer is not None and self.rng.random() >= self.lost:
                 self.at(self.now + self.rng.uniform(0.001, 0.014), lambda: self.give(peer, api.PeerSaid(n, data)))
             case api.Count(name, amount, _):
-                self.calls += 1
                 self.totals[name] += amount if self.counter else 0.0
                 end = api.Counted(name, Outcome.OK, self.totals[name])
                 if not self.counter:
@@ -72,6 +75,7 @@
 
     def send(self, n: int, request: int, worker: int) -> None:
         s = self.gateways[n].s
+        self.tried.append(worker)
         if (n, request) not in self.firsts:
             self.firsts.add((n, request))
             self.sent.append((self.now, n, request, self.units[n, request]))
@@ -89,13 +93,14 @@
             event = api.AttemptEnded(request, 0, worker, Outcome.OK, True, took, metered=used, load=load)
             self.give(n, event)
 
-        self.at(self.now + took, answer)
+        if self.answers:
+            self.at(self.now + took, answer)
 
     def ask(self, n: int, units: float, cls: int, spread: int) -> None:
-        self.count += 1
+        self.count, s = self.count + 1, self.gateways[n].s
         key = (n, self.count)
         self.final[key], self.units[key] = [], units
-        self.give(n, api.RequestArrived(self.count, cls, 0, 7, 2.0, units, spread, 0))
+        self.give(n, api.RequestArrived(self.count, cls, 0, 7, 4 * s.classes[cls].aim, units, spread, 0))
 
 
 CLASSES = (
@@ -195,3 +200,47 @@
     assert sum(u for *_, u in world.sent) <= 1.25 * (plan.burst + plan.rate * SECONDS)
     assert over < (0.12 if tell else 1.0), "attempts out are told"
     assert max(out for _, out in spans) >= plan.most_out, "and the cap is used"
+
+
+@pytest.mark.parametrize("name", ["config.json", "formosa.json"])
+def test_one_program_reads_each_sites_form_whole(name: str) -> None:
+    path = Path(__file__).parent.parent / "example" / name
+    raw, config = json.loads(path.read_text()), read_config({"NODE_CONFIG": str(path)})
+    module, settings = config.module, raw["settings"]
+    assert config.names.classes == tuple(c["Name"] for c in settings["Classes"])
+    assert [p.most_out for p in module.plans] == [p.get("MaxOut", 0) for p in settings["Packages"]]
+    assert module.may_tell == bool(config.peers) == ("peers" in raw)
+    assert module.load_names == tuple(settings["Stats"]["Names"])
+    gateway = Gateway(module, 1, 0.0)
+    gateway.handle(0.0, api.WorkersListed(ListKind.CACHED, (api.WorkerEntry(1, WorkerState.READY),)))
+    for cls, plan in ((c, p) for c in range(len(module.classes)) for p in range(len(module.plans) - 1)):
+        number = cls * 10 + plan
+        actions = gateway.handle(5.0, api.RequestArrived(number, cls, plan, number, 2.0))
+        assert any(isinstance(a, api.Send) for a in actions)
+
+
+def test_evidence_of_silence_follows_the_classs_aim() -> None:
+    """Before anything has answered the aim alone says what a usual answer takes: 0.2 of it, give or take 0.1."""
+    for aim in (0.6, 1.5, 3.0):
+        classes = (api.RequestClass(aim, 4 * aim, effect=Effect.UNSAFE),)
+        world = World(api.Settings(0, 1, classes, (api.Plan(),), may_cancel=True), 1, answers=False)
+        world.ask(0, 1.0, 0, 1)
+        w = world.gateways[0].workers[world.tried[0]]
+        world.run(1000.0 + 1.05 * aim)
+        assert w.failed == 0.0
+        world.run(1000.0 + 1.15 * aim)
+        assert w.failed > 0.4
+
+
+@pytest.mark.parametrize(("after", "again"), [(0.1, True), (2.4, True), (2.6, False)])
+def test_a_key_is_repeated_in_its_own_hall_and_time_only(after: float, again: bool) -> None:
+    classes = (api.RequestClass(1.25, 5.0, effect=Effect.KEYED, group=Group.ZONE, window=2.5),)
+    for seed in range(8):
+        world = World(api.Settings(0, 1, classes, (api.Plan(),), most_attempts=3), seed, answers=False)
+        world.ask(0, 1.0, 0, 1)
+        world.run(1000.0 + after)
+        ((_, request),) = world.final
+        world.give(0, api.AttemptEnded(request, 0, world.tried[0], Outcome.RESET, False, after))
+        assert len(world.tried) == 1 + again
+        assert len({worker % 2 for worker in world.tried}) == 1, "the other hall does not know the key"
+        assert world.final[0, request] == ([] if again else ["no"])
