--- a/dockthread/admission.py
+++ b/dockthread/admission.py
@@ -13,7 +13,8 @@
 CAP_USE = 0.5  # of a cap on attempts out that is used on average: chance alone fills the rest
 EPOCH, LIFE = 40.0, 60.0  # s that a customer's number on the counter counts, and lives
 CLEAR, TOLD = 0.5, 0.1  # of a burst: left, so that nobody need be asked; let in, so that the counter is told
-TRIES, MUTE, METER_FRESH = 3, 0.3, 2.5  # calls failed that mute the counter; s for which; periods of a meter's word
+TRIES, MUTE = 3, 0.3  # failed calls that mute the counter; s for which
+METER_FRESH = 2.5  # periods of the meter that its word counts
 VALUE_STEP = 0.01  # weight of one more request's value in the usual one
 
 
