Judge a request by the time left to it when the loop was held before it was read

Followed through all ingresses' logs: read at 13.814 s with 7,533 ms stated, the client left at 21.320 s, so it wrote 27 ms before the read; net/ingress.arrived counted its time from the read, keeps 5 ms back (WAY_BACK) and the module two ticks: the answer was due some 14 ms after the client's end. The loop beats each 10 ms; what is read came after the beat before the last, or since the backlog was last empty; where a beat rang late that bound comes off the request's time, and one with under a tenth left is refused unsent (reason `late`). Tests hold the loop for 0.5 s on an open connection and on one not accepted yet; without the change all fail.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -11,6 +11,7 @@
 
 from dockthread.clock import Clock
 from dockthread.net import resp
+from dockthread.net.pulse import Pulse
 from dockthread.observer import Traffic
 
 BUFFER = 8 * 1024
@@ -41,6 +42,7 @@
     clock: Clock
     vocabulary: resp.Vocabulary
     traffic: Traffic
+    pulse: Pulse
 
     @property
     def ready(self) -> bool: ...
@@ -56,8 +58,10 @@
 class Inbound:
     """One client connection. Its task reads for as long as it stands, so that a close is seen at once."""
 
-    def __init__(self, host: Host, sock: socket.socket, surplus: bool = False) -> None:
+    def __init__(self, host: Host, sock: socket.socket, came: float, surplus: bool = False) -> None:
         self._host, self.sock = host, sock
+        self.since = came  # the earliest at which what was read last can have come; its own coming, at first
+        self._seen, self._beat = came, host.pulse.last  # when all that had come was read; the beat before the wait
         self._loop = asyncio.get_running_loop()
         self._pending: deque[Slot] = deque()
         self._unsent: list[bytes] = []
@@ -201,6 +205,7 @@
                         return
                     if more:
                         await asyncio.sleep(0)
+                self._beat = self._host.pulse.last
         except OSError:
             pass
         except Exception:
@@ -209,6 +214,10 @@
 
     def _feed(self, data: bytes) -> None:
         bounds, self.used = self._bounds, self._host.clock.now()
+        pulse = self._host.pulse
+        # It came while this waited to read, or before it did so, behind what was read before.
+        self.since = max(self._seen, pulse.since) if pulse.since >= self._beat else self._seen
+        self._seen = self.used if len(data) < BUFFER else self.since
         if bounds.between:
             self.begun = self.used
         self._reader.feed(data[: bounds.sound(data)])
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -26,6 +26,7 @@
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.outbound import Outbound, OutboundCall
 from dockthread.net.peers import Peers
+from dockthread.net.pulse import PERIOD, Backlog, Pulse
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
 from dockthread.ops import retune
 from dockthread.rules import Gateway
@@ -44,6 +45,7 @@
 GUARDED = 2 * HOUSEKEEPING  # time left from which a request's deadline has a timer of its own
 LINGER = 500.0  # after SIGTERM, in which the front still sends
 LAST_READS = 20.0  # for what has reached the last accepted connections to be read
+LATE_PART = 0.1  # of a request's time: where no more can be left, it is refused at once, unsent and so harmless
 WAY_BACK = 5.0  # of a request's time: its way here, the answer's back, and the lateness of an alarm
 HELD_PART = 1 / 8  # of the memory, for requests' bodies
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -113,6 +115,8 @@
         self._stop = asyncio.Event()
         self._emptied = asyncio.Event()
         self._inbound: set[Inbound] = set()
+        self._beating: asyncio.TimerHandle | None = None
+        self.pulse, self._backlog = Pulse(clock.now()), Backlog()
         sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self._surplus = min(SURPLUS, int(sockets * SURPLUS_PART))
         room = sockets - RESERVE - self._surplus
@@ -222,6 +226,7 @@
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
         self._housekeeping()
+        self._beat()
         watching = self._loop.create_task(self.watch.run())
         accepting = self._loop.create_task(self._accept(listener))
         self.lifecycle.enter(Phase.SERVING)
@@ -250,6 +255,8 @@
             watching.cancel()
             accepting.cancel()
             listener.close()
+            if self._beating is not None:
+                self._beating.cancel()
             self.outbound.close()
             self.counter.close()
             self.peers.close()
@@ -288,19 +295,21 @@
     def _empty_backlog(self, listener: socket.socket, most: int = BACKLOG) -> None:
         for _ in range(most):
             if len(self._inbound) >= self._most_inbound + self._surplus:
-                return
+                break
             try:
                 sock, _ = listener.accept()
             except (BlockingIOError, ConnectionAbortedError):
+                self._backlog.emptied()
                 return
             self._opened(sock)
+        self._backlog.not_emptied(self.pulse)
 
     def _opened(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.traffic.clients_opened += 1
         surplus = len(self._inbound) >= self._most_inbound and not self._shed_inbound()
         try:
-            self._inbound.add(Inbound(self, sock, surplus))
+            self._inbound.add(Inbound(self, sock, self._backlog.came(self.pulse), surplus))
         except OSError:  # gone before it was looked at
             sock.close()
 
@@ -333,6 +342,10 @@
         if not self._inbound:
             self._emptied.set()
 
+    def _beat(self) -> None:
+        self.pulse.beat(self.clock.now())
+        self._beating = self._loop.call_later(PERIOD / 1000.0, self._beat)
+
     def _housekeeping(self) -> None:
         now = self.clock.now()
         self.at(now + HOUSEKEEPING, self._housekeeping)
@@ -431,14 +444,18 @@
         self._tell(self.destinations.apply(message))
 
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
+        now = self.clock.now()
         held = self._held + ask.body_bytes
         if len(self.requests) >= self.config.most_open or held > self._most_held or self.draining:
             reason = "draining" if self.draining else "bodies" if held > self._most_held else "crowded"
             return self.answered_at_once(ask, reason, resp.busy(self._advice))
-        self._numbers += 1
         # The client counts from when it sent. The module answers two ticks before the end, and its timer may
         # ring a tick late: without this some answers came after the client had given up.
-        left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0)
+        late = self.pulse.late(connection.since, now)
+        left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0) - late
+        if late and left < ask.time_left * LATE_PART:
+            return self.answered_at_once(ask, "late", resp.busy(self._advice))
+        self._numbers += 1
         route = self.routes.bounds(ask) if self.routes is not None else None
         if route is not None and route.timeout:
             left = min(left, route.timeout)
--- /dev/null
+++ b/tests/test_pulse.py
@@ -0,0 +1,81 @@
+"""A request that is read late is judged by the time left to it: the loop is held, and each answer is in time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from dockthread.net.pulse import Backlog, Pulse
+from tests.loopback import KEY, Backend, run, serving
+
+HELD, TIME, SLACK = 0.5, 1.0, 0.25  # s: the loop is held for; the client waits; a slow machine may take
+
+
+def command(number: int, ms: int) -> bytes:
+    terms = b"c=status,t=gross,d=%d,units=1,spread=3,first=1" % ms
+    parts = [b"API.READ", KEY, b"%016x" % number, terms]
+    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
+async def never(args: list[bytes]) -> bytes | None:
+    await asyncio.sleep(30)
+    return None
+
+
+@pytest.mark.parametrize("known", [True, False], ids=["on an open connection", "on one not accepted yet"])
+def test_a_request_that_came_while_the_loop_was_held_is_answered_in_its_own_time(known: bool) -> None:
+    async def scenario() -> None:
+        async with serving(Backend(never), Backend(never)) as (ingress, _, _):
+            loop = asyncio.get_running_loop()
+            with socket.socket() as sock:
+                if known:
+                    sock.connect(("127.0.0.1", ingress.address.port))
+                    await asyncio.sleep(0.1)
+                else:
+                    sock.connect(("127.0.0.1", ingress.address.port))
+                sock.sendall(command(1, int(TIME * 1000)))
+                sent = time.monotonic()
+                time.sleep(HELD)  # the loop stands, as in a burst of other work
+                sock.setblocking(False)
+                answer = await loop.sock_recv(sock, 100)
+                took = time.monotonic() - sent
+            assert answer.startswith((b"-BUSY", b"-ERR"))
+            assert took < TIME + SLACK, "counted from when it was read it would be the time and the stall"
+
+    run(scenario())
+
+
+def test_what_came_too_long_ago_is_refused_unsent() -> None:
+    async def scenario() -> None:
+        async with serving(Backend(never)) as (ingress, _, _):
+            with socket.socket() as sock:
+                sock.connect(("127.0.0.1", ingress.address.port))
+                await asyncio.sleep(0.1)
+                sock.sendall(command(1, int(HELD * 1000)))
+                time.sleep(HELD)
+                sock.setblocking(False)
+                answer = await asyncio.get_running_loop().sock_recv(sock, 100)
+            assert answer.startswith(b"-BUSY")
+            assert ingress.traffic.calls == 0
+
+    run(scenario())
+
+
+def test_the_bound_is_the_beat_before_the_last_or_the_last_empty_backlog() -> None:
+    pulse, backlog = Pulse(0.0), Backlog()
+    for now in (10.0, 20.0):
+        pulse.beat(now)
+    assert (pulse.since, pulse.late(pulse.since, 25.0)) == (10.0, 0.0), "nothing held the loop"
+    assert pulse.late(pulse.since, 60.0) == 50.0, "the beat has not rung, and so held it is"
+    pulse.beat(520.0)
+    assert pulse.late(pulse.since, 521.0) == 501.0
+    backlog.not_emptied(pulse)
+    pulse.beat(530.0)
+    pulse.beat(540.0)
+    assert pulse.late(pulse.since, 541.0) == 0.0
+    assert pulse.late(backlog.came(pulse), 541.0) == 521.0, "it was not taken since"
+    backlog.emptied()
+    assert backlog.came(pulse) == 530.0
