--- a/benchmarks/regress.py
+++ b/benchmarks/regress.py
@@ -79,14 +79,15 @@
     return not found.broken and (kept is None or found.score >= kept - FALL)
 
 
+def line(name: str, kept: float | None, found: Found) -> str:
+    change = "" if kept is None else f"{found.score - kept:+.3f}"
+    was = "-" if kept is None else f"{kept:.3f}"
+    word = "holds" if holds(found, kept) else "; ".join(found.broken) or "FELL"
+    return f"{name:28} {was:>6} {found.score:6.3f} {change:>7}  {word}"
+
+
 def table(rows: Iterable[tuple[str, float | None, Found]]) -> str:
-    lines = [f"{'run':28} {'kept':>6} {'now':>6} {'change':>7}  verdict"]
-    for name, kept, found in rows:
-        change = "" if kept is None else f"{found.score - kept:+.3f}"
-        was = "-" if kept is None else f"{kept:.3f}"
-        word = "holds" if holds(found, kept) else "; ".join(found.broken) or "FELL"
-        lines.append(f"{name:28} {was:>6} {found.score:6.3f} {change:>7}  {word}")
-    return "\n".join(lines)
+    return "\n".join([f"{'run':28} {'kept':>6} {'now':>6} {'change':>7}  verdict", *(line(*row) for row in rows)])
 
 
 def play(run: Run, kit: Path, why: str) -> Found:
@@ -121,7 +122,7 @@
         except (OSError, subprocess.SubprocessError, ValueError) as error:
             print(f"regress: {run.name}: {error}", file=sys.stderr)
             return 2
-        print(table(rows[-1:]).splitlines()[-1], flush=True)
+        print(line(*rows[-1]), flush=True)
     print("\n" + table(rows))
     good = all(holds(found, before) for _, before, found in rows)
     if good and options.keep:
--- a/dockthread/admission.py
+++ b/dockthread/admission.py
@@ -64,7 +64,7 @@
 
     def _asks(self, c: Customer) -> bool:
         """Whether the counter is to tell what the others let in: where their messages do not."""
-        return self.s.may_count and c.spread > 1 and not self._hears(c)
+        return self.s.may_count and not self._hears(c)
 
     def _doubtful(self, ask: api.RequestArrived, c: Customer, sketch: Sketch) -> bool:
         """Whether what the others let in decides: not within an even split, nor while the store holds much,
@@ -96,7 +96,8 @@
         if e.outcome is Outcome.OK:
             gap, others = self.now - c.heard, max(0.0, e.total - amount - c.counted * (epoch == c.epoch))
             if gap > sketch.window and self.now - c.told_at < sketch.window:  # messages told it until now
-                others = c.store.lead = 0.0
+                c.store.agree()
+                others = 0.0
             elif epoch != c.epoch and gap > sketch.window:  # nothing to compare with but the epoch's start
                 c.store.at_most(plan.burst + plan.rate * ((self.now + self.s.ahead) % EPOCH) - e.total)
                 others = 0.0
@@ -143,7 +144,7 @@
         """The chance to pass. Phi: the quota by this gateway's part of the arrivals where the others tell of
         theirs; else by its part of what is let in, by the counter or else by the meter; never less than an
         even split, which is all where nobody tells. Where the others' use is known the store decides too."""
-        rate, told, gap = self._rate(plan), c.spread == 1 or self._hears(c), self.now - c.told_at
+        rate, told, gap = self._rate(plan), self._hears(c), self.now - c.told_at
         if told or (not self.s.may_count and self._hears_any()):
             if not plan.rate and told:
                 return 1.0  # only a cap on attempts out, and those are told
@@ -182,13 +183,12 @@
         plan = self.s.plans[number]
         if (c := self.customers.get(key)) is None:
             c = self.customers[key] = Customer(number, plan, self.now, self.born)
-        c.seen = self.now
         c.store.fill(self.now)
         return c
 
     def _rate(self, plan: api.Plan) -> float:
         """The quota, or what a cap on attempts out lets pass in the usual answer time (Little's law)."""
-        return plan.rate or CAP_USE * plan.most_out * len(self.usual) / sum(usual for usual, _ in self.usual)
+        return plan.rate or CAP_USE * plan.most_out / self._usually()
 
     def _capped(self, c: Customer) -> bool:
         """Attempts out here and, by what was told not long ago, elsewhere."""
--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -61,9 +61,9 @@
 
     def _late(self, request: int, number: int) -> None:
         """At a suspected worker what may be repeated is copied, or called back; others have some time."""
-        call = self.calls.get(request)
-        if call is None or request in self.streaming or not (attempt := call.attempts[number]).out:
+        if (call := self._awaited(request, number)) is None:
             return
+        attempt = call.attempts[number]
         attempt.late = True
         self.out -= 1  # lost, it says nothing of a jam; at its worker it is out all the same
         usual, deviation = self.usual[call.ask.request_class]
@@ -72,9 +72,9 @@
 
     def _silent(self, request: int, number: int) -> None:
         """Evidence against a worker that answered nothing since."""
-        call = self.calls.get(request)
-        if call is None or request in self.streaming or not (attempt := call.attempts[number]).out:
+        if (call := self._awaited(request, number)) is None:
             return
+        attempt = call.attempts[number]
         w = self.workers[attempt.worker]
         if w.answered < attempt.sent:
             w.failed += 2 * FAIL_STEP * (1 - w.failed)
@@ -101,8 +101,8 @@
         self.carry(w, -1)
         if call is not None and call.attempts[e.attempt].late:
             self.out += 1  # taken off when it was late
-        if e.load:
-            w.hear(e.load, self.reports, sum(usual for usual, _ in self.usual) / len(self.usual), self.now)
+        if e.load and e.load != w.report:  # every answer repeats the last report; only another one is news
+            w.hear(e.load, self.reports.others(e.load, w.out, self._usually()), self.now)
         w.answered = self.now if e.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL) else w.answered
         if e.outcome is Outcome.OK:
             w.failed -= FAIL_STEP * w.failed
@@ -145,6 +145,10 @@
             if not any(a.out for a in call.attempts):
                 self._close(e.request)
 
+    def _usually(self) -> float:
+        """The usual answer time, of a class as of any other."""
+        return sum(usual for usual, _ in self.usual) / len(self.usual)
+
     def _repeats(self, call: Call) -> bool:
         """Whether a second attempt may go while the first is out. A class may have been changed meanwhile."""
         return self._effect(call) is not Effect.UNSAFE and len(call.attempts) < self.s.most_attempts
--- a/dockthread/ledger.py
+++ b/dockthread/ledger.py
@@ -22,7 +22,8 @@
     __slots__ = ("at", "burst", "lead", "level", "over", "rate")
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
-        self.rate, self.burst, self.level, self.at = rate, burst, burst, now
+        self.rate, self.burst, self.level = rate, burst, burst
+        self.at = now  # when it was last looked at
         self.over = 0.0  # units that ran over the full store since the others were last heard of
         self.lead = 0.0  # units of the others by their messages, less those by the counter
 
@@ -47,6 +48,10 @@
         self.lead = max(-self.burst, self.lead - units)
         self._debit(units - known, since)
 
+    def agree(self) -> None:
+        """The counter spoke again after messages told all: what both tell counts from here on."""
+        self.lead = 0.0
+
     def at_most(self, level: float) -> None:
         """Another has seen the store emptier, at a time when this gateway knew nothing of it."""
         self.level = max(0.0, min(self.level, level))
--- a/dockthread/mail.py
+++ b/dockthread/mail.py
@@ -46,7 +46,10 @@
         return [p for p in ring if p != self.me]
 
     def _hears(self, c: Customer) -> bool:
-        """Whether messages tell what the others let in, each of them, and soon enough for the plan's window."""
+        """Whether all that the others let in is known: there are none, or each of them tells it by messages, and
+        soon enough for the plan's window."""
+        if c.spread == 1:
+            return True
         sketch = self.sketches[c.plan]
         if not self.s.may_tell or sketch is None or self.turn > CLOSE * sketch.window:
             return False
@@ -54,7 +57,7 @@
         return all(self.heard.get(p, NEVER) > since for p in self._others(c))
 
     def _hears_any(self) -> bool:
-        return self.s.may_tell and self.now - self.last_heard <= SILENT_BEATS * self.beat
+        return self.s.may_tell and any(self.now - at <= SILENT_BEATS * self.beat for at in self.heard.values())
 
     def _greet(self) -> None:
         """Each answers a greeting with the customers that are short."""
@@ -94,16 +97,15 @@
             notes = self.mail[peer]
             if self.stock < 1 or (not notes and self.stock < STOCK * self.intake / 2):
                 break
-            keys = [key for key in notes if key in self.customers]
+            keys = list(notes)
             if len(keys) > room:  # those whose quota is nearest to its end
                 keys = sorted(keys, key=lambda key: self.customers[key].store.left(self.now))[:room]
             reports = [self.customers[key].report_of(key, self.now) for key in keys]
             self.actions.append(api.Tell(message.pack(self.life, suspects, reports), peer))
             self.stock, self.sent_at[peer] = self.stock - 1, self.now
-            if len(keys) < len(notes):
-                for key in keys:
-                    del notes[key]
-            else:
+            for key in keys:
+                del notes[key]
+            if not notes:
                 del self.mail[peer]
         if self.mail:
             self._mail_soon()
@@ -112,7 +114,7 @@
         told = message.unpack(e.data, len(self.s.plans))
         if told is None or not 0 <= e.peer < self.s.gateways or e.peer == self.me:
             return
-        self.heard[e.peer] = self.last_heard = self.now
+        self.heard[e.peer] = self.now
         for code, failed in told.suspects:
             suspect = self.codes.get(code)
             if suspect and self.now - suspect.answered > TRUST:
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -221,7 +221,6 @@
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
         listener = self._listen()
-        self.peers.open()
         self._tell(self.destinations.apply(self.config.known, cached=True))
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
@@ -444,13 +443,13 @@
         self._tell(self.destinations.apply(message))
 
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
-        now = self.clock.now()
         held = self._held + ask.body_bytes
         if len(self.requests) >= self.config.most_open or held > self._most_held or self.draining:
             reason = "draining" if self.draining else "bodies" if held > self._most_held else "crowded"
             return self.answered_at_once(ask, reason, resp.busy(self._advice))
         # The client counts from when it sent. The module answers two ticks before the end, and its timer may
         # ring a tick late: without this some answers came after the client had given up.
+        now = self.clock.now()
         late = self.pulse.late(connection.since, now)
         left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0) - late
         if late and left < ask.time_left * LATE_PART:
@@ -459,7 +458,7 @@
         route = self.routes.bounds(ask) if self.routes is not None else None
         if route is not None and route.timeout:
             left = min(left, route.timeout)
-        request = Request(self._numbers, connection, ask, self.clock.now() + left, left)
+        request = Request(self._numbers, connection, ask, now + left, left)
         self.requests[request.number] = request
         self._open_ids.add(ask.wire_id)
         self._held = held
--- a/dockthread/net/peers.py
+++ b/dockthread/net/peers.py
@@ -42,21 +42,14 @@
         """Listen, where there is an address to listen at and nobody holds it; else do nothing."""
         if self._addresses is None or self._sock is not None or self._closed:
             return
-        listen = self._addresses.listen
         try:
-            sock = listen.new_socket(socket.SOCK_DGRAM)
-            try:
-                sock.bind((listen.host, listen.port))
-            except OSError:
-                sock.close()
-                raise
+            self._sock = self._addresses.listen.listener(None)
         except OSError as error:
             if not self._warned:
-                logger.warning("cannot hear other ingresses at {} yet: {}", listen, error)
+                logger.warning("cannot hear other ingresses at {} yet: {}", self._addresses.listen, error)
             self._warned = True
             return
-        self._sock, self._warned = sock, False
-        asyncio.get_running_loop().add_reader(sock.fileno(), self._read)
+        asyncio.get_running_loop().add_reader(self._sock.fileno(), self._read)
 
     def tell(self, message: Tell) -> None:
         """Send to one, or by the address for all where there is one. What cannot go now is lost, as any may be."""
--- a/dockthread/net/pulse.py
+++ b/dockthread/net/pulse.py
@@ -51,7 +51,7 @@
 
     def came(self, pulse: Pulse) -> float:
         """The earliest at which a connection accepted now can have come."""
-        return pulse.since if self.left is None else min(self.left, pulse.since)
+        return pulse.since if self.left is None else self.left
 
     def emptied(self) -> None:
         self.left = None
--- a/dockthread/routed.py
+++ b/dockthread/routed.py
@@ -86,10 +86,14 @@
             self.timer(self.now + after, self._copy, request, number)
         return min(left, route.attempt_timeout or left)
 
+    def _awaited(self, request: int, number: int) -> Call | None:
+        """The call whose attempt is still out with nothing of an answer begun; None where none waits for it."""
+        call = self.calls.get(request)
+        return call if call and request not in self.streaming and call.attempts[number].out else None
+
     def _copy(self, request: int, number: int) -> None:
         """The route's own wait for a second copy is over."""
-        call = self.calls.get(request)
-        if call is None or request in self.streaming or not call.attempts[number].out:
+        if (call := self._awaited(request, number)) is None:
             return
         if self._repeats(call) and self.s.second_copies and self._may_copy(call) and not self._try(request, call):
             del self.held[request]
--- a/dockthread/settings.py
+++ b/dockthread/settings.py
@@ -50,13 +50,16 @@
         family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
         return socket.socket(family, kind | socket.SOCK_NONBLOCK)
 
-    def listener(self, backlog: int) -> socket.socket:
-        """A socket that listens here, for the loop; raises OSError where it cannot, and then holds nothing."""
-        listener = self.new_socket()
+    def listener(self, backlog: int | None) -> socket.socket:
+        """A socket that listens here, for the loop: for connections, or without a backlog for datagrams, and then
+        alone. Raises OSError where it cannot, and then holds nothing."""
+        listener = self.new_socket(socket.SOCK_DGRAM if backlog is None else socket.SOCK_STREAM)
         try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if backlog is not None:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind((self.host, self.port))
-            listener.listen(backlog)
+            if backlog is not None:
+                listener.listen(backlog)
         except OSError:
             listener.close()
             raise
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -9,7 +9,7 @@
 from math import inf
 
 from dockthread import api
-from dockthread.belief import Kin, Pace, Reports
+from dockthread.belief import Kin, Pace
 from dockthread.ledger import Store
 from dockthread.message import Report, whole, worker_code
 
@@ -63,9 +63,9 @@
         """Answer time, in usual ones of its class."""
         return self.times.believed(self.kin)
 
-    def hear(self, report: tuple[float, ...], reports: Reports, usual: float, now: float) -> None:
-        """Take over a load report. Every answer repeats the last one; only another one is news."""
-        if report != self.report and (others := reports.others(report, self.out, usual)) is not None:
+    def hear(self, report: tuple[float, ...], others: float | None, now: float) -> None:
+        """Take over a new load report, that tells of `others` here; None where it tells nothing."""
+        if others is not None:
             gap, self.report, self.report_at = now - self.report_at, report, now
             self.others = others
             # By time, not by report: where they are seldom, one says as much as many do.
@@ -96,7 +96,7 @@
 
 class Customer:
     def __init__(self, number: int, plan: api.Plan, now: float, born: float) -> None:
-        self.plan, self.seen = number, now
+        self.plan = number
         self.store = Store(plan.rate, plan.burst, now)  # of its quota, as far as known here
         self.ceiling, self.ceiling_at = 0.0, born
         self.first, self.spread, self.out = 0, 1, 0
@@ -116,7 +116,7 @@
 
     def spent_none(self, plan: api.Plan, now: float) -> bool:
         """Whether a new one in its place would be known as much."""
-        idle, gap = now - self.seen, now - self.ceiling_at
+        idle, gap = now - self.store.at, now - self.ceiling_at
         if self.out or self.waiting or self.calling or idle * plan.rate < plan.burst:
             return False
         return plan.ceiling_rate * gap >= plan.ceiling_burst
@@ -151,7 +151,7 @@
         self.failures, self.mute = 0.0, NEVER  # failed calls to the counter in a row; until when none is made
         self.customers: dict[int, Customer] = {}
         self.mail: dict[int, dict[int, None]] = {}  # by peer: customers to tell of
-        self.mailing, self.mailed, self.last_heard = False, now, NEVER
+        self.mailing, self.mailed = False, now
         self.heard: dict[int, float] = {}  # by peer: its last message
         self.sent_at: dict[int, float] = {}  # by peer: the last message to it
         self.lives: dict[int, int] = {}  # a peer's mark of its present life
@@ -182,7 +182,7 @@
                 k: c for k, c in self.customers.items() if not c.spent_none(plans[c.plan], self.now)
             }
         elif len(self.customers) > MANY:  # those long idle, with full stores, are as good as new
-            kept = {k: c for k, c in self.customers.items() if c.seen > self.now - IDLE or c.out}
+            kept = {k: c for k, c in self.customers.items() if c.store.at > self.now - IDLE or c.out}
             self.customers, self.mail = kept, {}
 
     def timer(self, at: float, then: Callable[..., None], *about: int) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -76,6 +76,12 @@
         return read_config({"NODE_CONFIG": str(path)})
 
 
+def command(*args: bytes) -> bytes:
+    """A command as clients write it."""
+    parts = [b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args]
+    return b"*%d\r\n%b" % (len(args), b"".join(parts))
+
+
 async def serves(args: list[bytes]) -> bytes | None:
     """What a backend does with a command: an answer, or None to break the connection."""
     return b"*3\r\n$5\r\nvalue\r\n$7\r\nused=37\r\n$24\r\ninflight=7,qps=2,queue=1\r\n"
@@ -148,8 +154,7 @@
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
     def send(self, *args: bytes) -> None:
-        parts = [b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args]
-        self.writer.write(b"*%d\r\n%b" % (len(args), b"".join(parts)))
+        self.writer.write(command(*args))
 
     async def answer(self) -> Any:
         """The next answer: a value, the text of an error, or None at the end of the connection."""
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -25,18 +25,15 @@
 class World:
     """Gateways, their workers, a counter and the way between them, on one clock."""
 
-    def __init__(
-        self, base: api.Settings, seed: int, lost: float = 0.06, counter: bool = True, answers: bool = True
-    ) -> None:
+    def __init__(self, base: api.Settings, seed: int, lost: float = 0.06, answers: bool = True) -> None:
         self.answers, self.tried = answers, list[int]()  # whether workers answer; which had an attempt
-        self.rng, self.now, self.lost, self.counter = random.Random(seed), 1000.0, lost, counter
+        self.rng, self.now, self.lost = random.Random(seed), 1000.0, lost
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.count = 0
         self.totals: dict[int, float] = defaultdict(float)
         self.final: dict[tuple[int, int], list[str]] = {}
         self.units: dict[tuple[int, int], float] = {}
-        self.sent = list[tuple[float, int, int, float]]()  # first sends: when, gateway, request, units
-        self.firsts = set[tuple[int, int]]()
+        self.sent: dict[tuple[int, int], tuple[float, float]] = {}  # first sends: when, and the units
         self.gateways = [Gateway(replace(base, number=n), seed * 31 + n, self.now) for n in range(base.gateways)]
         entries = tuple(api.WorkerEntry(100 + n, WorkerState.READY, n % 2, 0, n % 2, 1.0) for n in range(6))
         for n in range(base.gateways):
@@ -67,18 +64,14 @@
             case api.Tell(data, peer) if peer is not None and self.rng.random() >= self.lost:
                 self.at(self.now + self.rng.uniform(0.001, 0.014), lambda: self.give(peer, api.PeerSaid(n, data)))
             case api.Count(name, amount, _):
-                self.totals[name] += amount if self.counter else 0.0
+                self.totals[name] += amount
                 end = api.Counted(name, Outcome.OK, self.totals[name])
-                if not self.counter:
-                    end = api.Counted(name, Outcome.TIMEOUT)
-                self.at(self.now + (0.002 if self.counter else 0.05), lambda: self.give(n, end))
+                self.at(self.now + 0.002, lambda: self.give(n, end))
 
     def send(self, n: int, request: int, worker: int) -> None:
         s = self.gateways[n].s
         self.tried.append(worker)
-        if (n, request) not in self.firsts:
-            self.firsts.add((n, request))
-            self.sent.append((self.now, n, request, self.units[n, request]))
+        self.sent.setdefault((n, request), (self.now, self.units[n, request]))
         took = self.rng.expovariate(1 / 0.06)
         load = tuple(0.4 for _ in s.load_names) if s.load_in_answers else ()
 
@@ -88,7 +81,7 @@
                 done.append("served")
             used = None
             if s.meter_period:
-                spent = sum(u for t, _, _, u in self.sent if self.now - 1.5 < t <= self.now - 0.5)
+                spent = sum(u for t, u in self.sent.values() if self.now - 1.5 < t <= self.now - 0.5)
                 used = spent / max(s.plans[0].rate, 1e-9)
             event = api.AttemptEnded(request, 0, worker, Outcome.OK, True, took, metered=used, load=load)
             self.give(n, event)
@@ -165,7 +158,7 @@
     world, plan, spread = World(s, seed), s.plans[0], s.gateways
     for n, units, cls in demand(world, spread, 3.0):
         world.ask(n, units, cls, spread)
-    let_in = sum(units for _, _, _, units in world.sent)
+    let_in = sum(units for _, units in world.sent.values())
     quota = plan.burst + plan.rate * SECONDS
     told = spread == 1 or s.may_tell or s.may_count
     assert let_in <= 1.25 * quota + s.largest_units * spread
@@ -183,7 +176,7 @@
     for n, units, cls in demand(world, s.gateways, 0.4):
         world.ask(n, units, cls, s.gateways)
     level, at = burst, 1000.0
-    for when, _, _, units in world.sent:
+    for when, units in world.sent.values():
         level, at = min(burst, level + rate * (when - at)) - units, when
         assert level >= -plan.ceiling_slack
 
@@ -192,14 +185,14 @@
 def test_a_cap_and_a_rate_on_one_plan_both_hold(tell: bool) -> None:
     plan = api.Plan(rate=20.0, burst=40.0, most_out=3)
     s = api.Settings(0, 3, CLASSES, (plan,), most_attempts=3, may_tell=tell, may_count=True, largest_units=4)
-    world, spans = World(s, 4), list[tuple[float, float]]()
+    world, outs = World(s, 4), list[int]()
     for n, units, cls in demand(world, 3, 3.0):
         world.ask(n, units, cls, 3)
-        spans.append((world.now, sum(c.out for g in world.gateways for c in g.customers.values())))
-    over = sum(out > plan.most_out for _, out in spans) / len(spans)
-    assert sum(u for *_, u in world.sent) <= 1.25 * (plan.burst + plan.rate * SECONDS)
+        outs.append(sum(c.out for g in world.gateways for c in g.customers.values()))
+    over = sum(out > plan.most_out for out in outs) / len(outs)
+    assert sum(u for _, u in world.sent.values()) <= 1.25 * (plan.burst + plan.rate * SECONDS)
     assert over < (0.12 if tell else 1.0), "attempts out are told"
-    assert max(out for _, out in spans) >= plan.most_out, "and the cap is used"
+    assert max(outs) >= plan.most_out, "and the cap is used"
 
 
 @pytest.mark.parametrize("name", ["config.json", "formosa.json"])
--- a/tests/test_pulse.py
+++ b/tests/test_pulse.py
@@ -9,15 +9,13 @@
 import pytest
 
 from dockthread.net.pulse import Backlog, Pulse
-from tests.loopback import KEY, Backend, run, serving
+from tests.loopback import KEY, Backend, command, run, serving
 
 HELD, TIME, SLACK = 0.5, 1.0, 0.25  # s: the loop is held for; the client waits; a slow machine may take
 
 
-def command(number: int, ms: int) -> bytes:
-    terms = b"c=status,t=gross,d=%d,units=1,spread=3,first=1" % ms
-    parts = [b"API.READ", KEY, b"%016x" % number, terms]
-    return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+def read(ms: int) -> bytes:
+    return command(b"API.READ", KEY, b"%016x" % 1, b"c=status,t=gross,d=%d,units=1,spread=3,first=1" % ms)
 
 
 async def never(args: list[bytes]) -> bytes | None:
@@ -31,12 +29,10 @@
         async with serving(Backend(never), Backend(never)) as (ingress, _, _):
             loop = asyncio.get_running_loop()
             with socket.socket() as sock:
+                sock.connect(("127.0.0.1", ingress.address.port))
                 if known:
-                    sock.connect(("127.0.0.1", ingress.address.port))
                     await asyncio.sleep(0.1)
-                else:
-                    sock.connect(("127.0.0.1", ingress.address.port))
-                sock.sendall(command(1, int(TIME * 1000)))
+                sock.sendall(read(int(TIME * 1000)))
                 sent = time.monotonic()
                 time.sleep(HELD)  # the loop stands, as in a burst of other work
                 sock.setblocking(False)
@@ -54,7 +50,7 @@
             with socket.socket() as sock:
                 sock.connect(("127.0.0.1", ingress.address.port))
                 await asyncio.sleep(0.1)
-                sock.sendall(command(1, int(HELD * 1000)))
+                sock.sendall(read(int(HELD * 1000)))
                 time.sleep(HELD)
                 sock.setblocking(False)
                 answer = await asyncio.get_running_loop().sock_recv(sock, 100)
