--- a/dockthread/attempts.py
+++ b/dockthread/attempts.py
@@ -7,7 +7,7 @@
 
 from dockthread import api
 from dockthread.api import Effect, Outcome
-from dockthread.belief import MOST_PACE, Reports, scarcity, smoothed
+from dockthread.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.choice import Choice
 from dockthread.state import Attempt, Call
 
@@ -19,7 +19,8 @@
 SILENT_DEVIATIONS = 9.0  # after so many its worker is suspected: one usual answer in 2,000 takes longer
 DONE_OVER, MOST_CHANCE = 4.0, 5  # fall times over which answers are averaged; attempts out that say nothing
 HALF = 0.45  # part of its time after which a request that no worker could be given ends
-PRESSED, ADVICE = 0.5, 0.25  # of a class's aim: expected wait that refuses; wait advised to the refused
+PRESSED, ADVICE = 0.25, 0.25  # of an aim: expected wait that refuses the usual; wait advised then
+TIRED = 0.5  # of an aim: answer time of late from which nothing is tried again
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 TICK = 0.25  # s between rounds of housekeeping
 
@@ -27,7 +28,7 @@
 class Attempts(Choice):
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.reports = Reports(settings.load_names)
+        self.reports, self.crowds = Reports(settings.load_names), Crowds()
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
@@ -48,10 +49,11 @@
         if (worker := self._choose(call)) is None:
             return False
         del self.held[request]
+        crowd = self.crowds.met(worker.load(self.now))
         self.carry(worker, 1)
         worker.take_link(self.now - self.kept)
         self.owner[request, len(call.attempts)] = call.ask.customer
-        call.attempts.append(Attempt(worker.entry.worker, self.now))
+        call.attempts.append(Attempt(worker.entry.worker, self.now, crowd))
         self.customers[call.ask.customer].out += 1
         self.actions.append(api.Send(request, worker.entry.worker, self._sent(request, call)))
         usual, deviation = self.usual[call.ask.request_class]
@@ -123,7 +125,7 @@
             call.ask.route.ended(e.attempt, e.outcome, e.took, self.now)
         if e.outcome is Outcome.OK:
             usual, deviation = self.usual[call.ask.request_class]
-            w.times.answered(pace := min(MOST_PACE, e.took / usual))
+            w.times.answered(pace := min(MOST_PACE, e.took / usual / attempt.crowd))
             w.kin.answered(pace)
             self.usual[call.ask.request_class] = smoothed(usual, deviation, e.took, SMOOTH)
         if self.s.settles_units and e.true_units:
@@ -134,7 +136,7 @@
         if e.finished:
             self._finish(e.request)
         elif not any(a.out for a in call.attempts):
-            pressed = self.slow > PRESSED * call.rules.aim or self.now > call.deadline - 2 * self.s.tick
+            pressed = self.slow > TIRED * call.rules.aim or self.now > call.deadline - 2 * self.s.tick
             more = not pressed and len(call.attempts) < self.s.most_attempts
             pause = self._pause(call, e.outcome) if more else None
             if pause:
@@ -183,6 +185,7 @@
     def _wait(self) -> float:
         """Expected wait by Little's law, of attempts out less what chance could put there: sees a jam come.
         Or the answer time of late: sees work that was given up here and still waits at the workers."""
-        over = min(DONE_OVER * self.s.safety.fall_time, self.now - self.born) + TICK
-        few = self.out < MOST_CHANCE or not self.done or self.now < self.born + self.tight  # answers lag
+        lag = self._usually()  # a start's first answers come so much later than its requests
+        over = min(DONE_OVER * self.s.safety.fall_time + TICK, self.now - self.born - lag)
+        few = self.out < MOST_CHANCE or not self.done or over < lag
         return max(0.0 if few else (self.out - math.sqrt(self.out)) * over / self.done, self.slow)
--- a/dockthread/belief.py
+++ b/dockthread/belief.py
@@ -18,6 +18,7 @@
 FEW = 3.0  # gateways for which the weight of one failure, and the time that it lasts, were set
 FIELDS = ("rif", "busy", "rate", "lat_ms", "q")  # of load reports, on the wire
 BUSY = 1.0  # requests that a node's use of all its cores counts as, beside the own ones there
+OWN_ROOM, CROWD_STEP = 2.0, 0.02  # requests that take no longer than one does; weight of one more in the usual
 CLIPPED = 3.0  # deviations beyond the usual time that one answer can tell
 
 
@@ -61,6 +62,25 @@
         return (IMAGINED * kin.pace + self.seen * self.mean) / (IMAGINED + self.seen)
 
 
+class Crowds:
+    """How crowded a worker is held to be beside what requests usually meet: 1 is as usual.
+
+    A worker's pace is to tell how fast it is, not how full it was. Without this a worker that was spared while it
+    was cold looked four times as fast as the loaded ones, was given sixty requests to their fifteen as soon as it
+    was warm, and jammed (3 ingresses and 17 nodes, pool-bern)."""
+
+    __slots__ = ("usual",)
+
+    def __init__(self) -> None:
+        self.usual = OWN_ROOM
+
+    def met(self, load: float) -> float:
+        """One more request meets `load` others at its worker."""
+        here = load + OWN_ROOM
+        self.usual += CROWD_STEP * (here - self.usual)
+        return here / self.usual
+
+
 class Reports:
     """Reads load reports, whichever of the wire's fields a site has: requests at a worker that are not from here.
 
--- a/dockthread/choice.py
+++ b/dockthread/choice.py
@@ -16,7 +16,8 @@
 class Choice(Routed):
     def _choose(self, call: Call) -> Worker | None:
         """Drawn by their shares, so that gateways neither herd nor, in sum, push a cold worker over (rule 4):
-        only the first drawn for a first attempt may be cold, whatever the others have no room for."""
+        of a first attempt's drawn only as many may be cold as times what it can do a cold worker stands, less
+        one that is kept for chance, whatever the others have no room for."""
         ran, used = call.ran(), {a.worker for a in call.attempts}
         ready, sums = self._subset(call, self.pool)
         if ran is not None and (effect := self._effect(call)) is not Effect.SAFE:  # rule 2
@@ -27,7 +28,8 @@
         elif ready:
             count = max(2, CHOICES * len(ready) // self.s.gateways)
             drawn = self.rng.choices(ready, cum_weights=sums, k=count)
-            free = [w for i, w in enumerate(drawn) if self._fits(w, call, i == 0 and not call.attempts)]
+            cold = 0 if call.attempts else max(1, int(self.s.safety.fall_multiple) - 1)
+            free = [w for i, w in enumerate(drawn) if self._fits(w, call, i < cold)]
             if free := [w for w in free if w.entry.worker not in used]:
                 return min(free, key=self._cost)
         # Full, or draining unannounced: its emptiness would draw all. When all are, only first attempts go.
--- a/dockthread/state.py
+++ b/dockthread/state.py
@@ -23,6 +23,7 @@
 class Attempt:
     worker: int
     sent: float
+    crowd: float = 1.0  # how full its worker was held to be when it was sent
     out: bool = True
     late: bool = False
     may_have_run: bool = True
