--- a/dockthread/drill.py
+++ b/dockthread/drill.py
@@ -8,7 +8,7 @@
 from typing import Any, BinaryIO
 
 from dockthread import api
-from dockthread.rules import Gateway
+from dockthread.module.rules import Gateway
 from dockthread.settings import SECOND, SettingsError, read_settings
 
 HEADER = struct.Struct("<QII")
--- a/dockthread/attempts.py
+++ b/dockthread/module/attempts.py
@@ -5,11 +5,11 @@
 import math
 from itertools import accumulate
 
-from dockthread import api
-from dockthread.api import Effect, Outcome
-from dockthread.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
-from dockthread.choice import Choice
-from dockthread.state import Attempt, Call
+from dockthread.module import api
+from dockthread.module.api import Effect, Outcome
+from dockthread.module.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
+from dockthread.module.choice import Choice
+from dockthread.module.state import Attempt, Call
 
 FAIL_STEP, SLOW_STEP, SMOOTH = 0.25, 0.12, 0.05  # weights of one more in smoothed figures
 LATEST = 1.5  # tight aims: the latest that one answer can tell of the moment
--- a/dockthread/choice.py
+++ b/dockthread/module/choice.py
@@ -4,9 +4,9 @@
 
 import math
 
-from dockthread.api import Effect, Group
-from dockthread.routed import Routed
-from dockthread.state import NEVER, Call, Worker
+from dockthread.module.api import Effect, Group
+from dockthread.module.routed import Routed
+from dockthread.module.state import NEVER, Call, Worker
 
 CHOICES, HOME, TRIALS = 4, 2.0, 0.1  # candidates a gateway; draws of the own zone; root of a bad one's share
 HANDSHAKE = 8.0  # requests' times that the price of a new connection is worth
--- a/dockthread/mail.py
+++ b/dockthread/module/mail.py
@@ -11,9 +11,9 @@
 
 from __future__ import annotations
 
-from dockthread import api, message
-from dockthread.sketch import Sketch
-from dockthread.state import NEVER, Customer, Memory
+from dockthread.module import api, message
+from dockthread.module.sketch import Sketch
+from dockthread.module.state import NEVER, Customer, Memory
 
 INTAKE_PART, STOCK = 0.8, 4  # part of an intake that all use; s of messages in stock
 ROUND_LEAST, ROUND_MOST = 0.02, 0.25  # s between the first news and its round of mail
--- a/dockthread/routed.py
+++ b/dockthread/module/routed.py
@@ -7,9 +7,9 @@
 
 from itertools import accumulate
 
-from dockthread import api
-from dockthread.mail import Mail
-from dockthread.state import Attempt, Call, Worker
+from dockthread.module import api
+from dockthread.module.mail import Mail
+from dockthread.module.state import Attempt, Call, Worker
 
 STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
 
--- a/dockthread/rules.py
+++ b/dockthread/module/rules.py
@@ -1,4 +1,4 @@
-"""A gateway's decisions, joined: events in, actions out (dockthread/api.py).
+"""A gateway's decisions, joined: events in, actions out (dockthread/module/api.py).
 
 `Admission` asks whether the customer's decayed unit rate lets a request in (rakelimit), `Attempts` when it is
 tried, tried again, copied or given up, `Choice` where. Here: events by their kind, and housekeeping."""
@@ -9,12 +9,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from dockthread import api
-from dockthread.admission import Admission
-from dockthread.api import ListKind, WorkerState
-from dockthread.attempts import DONE_OVER, TICK
-from dockthread.belief import Kin, scarcity
-from dockthread.state import Worker
+from dockthread.module import api
+from dockthread.module.admission import Admission
+from dockthread.module.api import ListKind, WorkerState
+from dockthread.module.attempts import DONE_OVER, TICK
+from dockthread.module.belief import Kin, scarcity
+from dockthread.module.state import Worker
 
 PACE_HALF = 15.0  # s in which what its answer times told counts half
 FADE_HALF = 5.0  # s in which evidence against a worker halves, so that it returns
--- a/dockthread/state.py
+++ b/dockthread/module/state.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from dockthread import api
-from dockthread.belief import Kin, Pace
-from dockthread.ledger import Store
-from dockthread.message import Report, whole, worker_code
+from dockthread.module import api
+from dockthread.module.belief import Kin, Pace
+from dockthread.module.ledger import Store
+from dockthread.module.message import Report, whole, worker_code
 
 NEVER = -1e9  # a time long ago
 REPORT_HALF, MEAN_HALF = 0.4, 8.0  # s in which a report's news halves; in which what was smoothed before does
--- a/dockthread/net/counter.py
+++ b/dockthread/net/counter.py
@@ -9,8 +9,8 @@
 
 from loguru import logger
 
-from dockthread.api import Counted, Outcome
 from dockthread.clock import Clock
+from dockthread.module.api import Counted, Outcome
 from dockthread.net import resp
 from dockthread.observer import Observer
 from dockthread.settings import Address
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -14,8 +14,8 @@
 from loguru import logger
 
 from dockthread import api
-from dockthread.backoff import Backoff
 from dockthread.clock import Clock
+from dockthread.module.backoff import Backoff
 from dockthread.observer import Observer
 from dockthread.settings import Address, Names, SettingsError
 
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -17,8 +17,9 @@
 from loguru import logger
 
 from dockthread import api
-from dockthread.backoff import Backoff
 from dockthread.clock import Clock
+from dockthread.module.backoff import Backoff
+from dockthread.module.rules import Gateway
 from dockthread.net import resp
 from dockthread.net.counter import Counter
 from dockthread.net.destination_set import DestinationSet, Watch
@@ -29,7 +30,6 @@
 from dockthread.net.pulse import PERIOD, Backlog, Pulse
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
 from dockthread.ops import retune
-from dockthread.rules import Gateway
 from dockthread.settings import Address, Config
 
 BACKLOG = 1024
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -9,9 +9,9 @@
 
 from loguru import logger
 
-from dockthread.api import IDLE_PART as IDLE_PART
-from dockthread.api import Outcome
 from dockthread.clock import Clock
+from dockthread.module.api import IDLE_PART as IDLE_PART
+from dockthread.module.api import Outcome
 from dockthread.net import resp
 from dockthread.net.destination_set import Destination, DestinationSet
 from dockthread.observer import Observer, Traffic
--- a/dockthread/net/peers.py
+++ b/dockthread/net/peers.py
@@ -17,8 +17,8 @@
 
 from loguru import logger
 
-from dockthread.api import PeerSaid, Tell
-from dockthread.message import MOST_BYTES
+from dockthread.module.api import PeerSaid, Tell
+from dockthread.module.message import MOST_BYTES
 from dockthread.observer import Traffic
 from dockthread.settings import PeerAddresses
 
--- a/dockthread/ops/retune.py
+++ b/dockthread/ops/retune.py
@@ -24,7 +24,7 @@
 from dockthread.settings import Names
 
 if TYPE_CHECKING:
-    from dockthread.rules import Gateway
+    from dockthread.module.rules import Gateway
 
 
 @dataclass(frozen=True, slots=True)
--- a/dockthread/routes/bounds.py
+++ b/dockthread/routes/bounds.py
@@ -13,17 +13,14 @@
 
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, Protocol
 
 from ddsketch import LogCollapsingLowestDenseDDSketch
 
-from dockthread.api import Outcome, WorkerEntry
+from dockthread.module.api import Outcome, WorkerEntry
 from dockthread.routes.budget import Budget
 from dockthread.routes.limit import Limit, Queue
 
-if TYPE_CHECKING:
-    from dockthread.routes.table import Table
-
 WORDS = {
     "error": Outcome.ERROR,
     "reset": Outcome.RESET,
@@ -88,12 +85,24 @@
         return float(value) if value is not None else None
 
 
+class Rulebook(Protocol):
+    """What bounds ask of the table that they came from. `generation` grows with each change of it; `dropped`: limits
+    that no route has any more and that may still be held."""
+
+    generation: int
+
+    @property
+    def dropped(self) -> object: ...
+    def rules_for(self, facts: Facts) -> Rules: ...
+    def forget_idle(self) -> None: ...
+
+
 class Bounds:
     """One request's, from its arrival to its final answer."""
 
     __slots__ = ("_copied", "_entered", "_facts", "_generation", "_rules", "_since", "_spent", "_table")
 
-    def __init__(self, table: Table, facts: Facts, rules: Rules, spent: Spent) -> None:
+    def __init__(self, table: Rulebook, facts: Facts, rules: Rules, spent: Spent) -> None:
         self._table, self._facts, self._rules, self._spent = table, facts, rules, spent
         self._generation = table.generation
         self._entered = False
--- a/dockthread/routes/check.py
+++ b/dockthread/routes/check.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from dockthread import api
-from dockthread.api import Effect, Group, Outcome
+from dockthread.module.api import Effect, Group, Outcome
 from dockthread.operator_file.quantities import Duration
 from dockthread.operator_file.reader import Problem
 from dockthread.routes.bounds import WORDS
--- a/dockthread/routes/model.py
+++ b/dockthread/routes/model.py
@@ -19,12 +19,12 @@
 from dataclasses import dataclass, field, replace
 
 from dockthread import api
-from dockthread.api import Outcome
-from dockthread.attempts import NEVER_RAN
+from dockthread.module.api import Outcome
+from dockthread.module.attempts import NEVER_RAN
+from dockthread.module.rules import Gateway
 from dockthread.routes.bounds import Bounds, Facts
 from dockthread.routes.options import RouteOptions
 from dockthread.routes.table import Table
-from dockthread.rules import Gateway
 from dockthread.settings import Names
 
 ENDINGS = (Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.RESET, Outcome.UNREACHABLE)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from dockthread.api import Counted, Outcome
 from dockthread.clock import Clock
+from dockthread.module.api import Counted, Outcome
 from dockthread.net.counter import Counter
 from dockthread.settings import Address
 from tests.loopback import Backend, run, until
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -15,8 +15,8 @@
 from hypothesis import strategies as st
 
 from dockthread import api
-from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
-from dockthread.rules import Gateway
+from dockthread.module.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread.module.rules import Gateway
 from dockthread.settings import read_config
 
 SECONDS = 24.0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -11,11 +11,11 @@
 
 from benchmarks import fleet_count
 from dockthread import api
-from dockthread.backoff import PART, Backoff
-from dockthread.belief import smoothed
 from dockthread.clock import ManualClock
+from dockthread.module.backoff import PART, Backoff
+from dockthread.module.belief import smoothed
+from dockthread.module.rules import Gateway
 from dockthread.net.destination_set import DestinationSet
-from dockthread.rules import Gateway
 from dockthread.settings import Names
 
 SERVICE, PATIENCE, ROOM = 130.0, 2_000.0, 24  # ms a call; ms it waits at most; calls that wait
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from dockthread import message
-from dockthread.api import PeerSaid, Tell
+from dockthread.module import message
+from dockthread.module.api import PeerSaid, Tell
 from dockthread.net.ingress import Ingress
 from dockthread.net.peers import TURN, Peers
 from dockthread.observer import Traffic
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from dockthread import api
-from dockthread.belief import Crowds
-from dockthread.rules import Gateway
+from dockthread.module.belief import Crowds
+from dockthread.module.rules import Gateway
 from tests.test_fleet import settings
 
 CORES, WORK = 4, 0.3
--- a/tests/test_routes_parts.py
+++ b/tests/test_routes_parts.py
@@ -11,9 +11,10 @@
 from hypothesis import strategies as st
 
 from dockthread import api
-from dockthread.api import Effect, Outcome
+from dockthread.module.api import Effect, Outcome
+from dockthread.module.routed import Routed
+from dockthread.module.rules import Gateway
 from dockthread.operator_file.quantities import Duration, Share
-from dockthread.routed import Routed
 from dockthread.routes import bounds as routes_bounds
 from dockthread.routes.bounds import Bounds, Facts, Rules, stricter
 from dockthread.routes.budget import SPAN, Budget
@@ -21,7 +22,6 @@
 from dockthread.routes.model import Broken, explore
 from dockthread.routes.options import RouteOptions
 from dockthread.routes.table import Table
-from dockthread.rules import Gateway
 from dockthread.settings import Names
 
 NAMES = Names(("a", "b"), ("k", "g"), ("hall-a",), ("type-a",))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,11 +12,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from dockthread import admission, api, attempts, mail, message, rules, sketch
-from dockthread.api import Effect, Group, ListKind, Outcome, WorkerState
-from dockthread.belief import Reports
-from dockthread.ledger import Store
-from dockthread.sketch import Sketch
+from dockthread import api
+from dockthread.module import admission, attempts, mail, message, rules, sketch
+from dockthread.module.api import Effect, Group, ListKind, Outcome, WorkerState
+from dockthread.module.belief import Reports
+from dockthread.module.ledger import Store
+from dockthread.module.sketch import Sketch
 
 SAFE, KEYED, UNSAFE = 0, 1, 2
 CLASSES = (
