Part net/ingress.py by concern until it only wires: doorway, decider, timers, request

Change: pure moves. `doorway.py` has the listener, its backlog, the budget of descriptors and which connection goes where they run short; `decider.py` tells the module its events in order and contains its faults; `timers.py` is the one heap; `request.py` a request as it is held. Ingress keeps requests from arrival to answer, its life and the reload.

--- /dev/null
+++ b/dockthread/net/decider.py
@@ -0,0 +1,52 @@
+"""The one decision module in its place: events in their order, and what it decides carried out."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from dockthread import Gateway, api
+from dockthread.clock import Clock
+
+
+class Decider:
+    """`carry_out`: by the type of an action, what does it. `abandon`: gives a request up after a fault."""
+
+    def __init__(self, gateway: Gateway, clock: Clock, abandon: Callable[[int], None]) -> None:
+        self.gateway, self._clock, self._abandon = gateway, clock, abandon
+        self.carry_out: dict[type, Callable[[Any], None]] = {}
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+
+    def tell(self, event: api.Event) -> None:
+        """Events are told one after another: one that comes of carrying out an action waits for its turn."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _decide(self, event: api.Event) -> None:
+        broken = False
+        try:
+            actions = self.gateway.handle(self._clock.now() / 1000.0, event)
+        except Exception:
+            logger.exception("the module failed on {!r}", event)
+            # What it had decided until then stands in its memory, and so must be done; its own next round
+            # may be among it.
+            actions, broken = list(self.gateway.actions), True
+        for action in actions:
+            try:
+                self.carry_out[type(action)](action)
+            except Exception:
+                logger.exception("{!r} could not be carried out", action)
+                self._abandon(getattr(action, "request", -1))
+        if broken:
+            self._abandon(getattr(event, "request", -1))
--- /dev/null
+++ b/dockthread/net/doorway.py
@@ -0,0 +1,149 @@
+"""The doorway: the listener, who is let in by it, and which connection goes where descriptors run short."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from dataclasses import dataclass
+from typing import Protocol
+
+from loguru import logger
+
+from dockthread.net.inbound import Host, Inbound
+from dockthread.net.pulse import Backlog
+from dockthread.settings import Address
+
+BACKLOG = 1024
+RESERVE = 24  # descriptors for all but connections: standard streams, the loop's own, listener, watch
+SURPLUS = 32  # inbound connections over their budget that are accepted only to be told to come again, at most
+SURPLUS_PART = 1 / 16  # of the descriptors
+CLIENTS_PART = 1 / 3  # of the descriptors that clients hold for requests at most
+OTHERS_PART = 1 / 4  # of what is left then, for clients that hold a connection and ask nothing
+ACCEPTED = 16  # connections in a row, before those that stand have their turn
+FRESH = 100.0  # for which a connection that has just come, or just been used, is left alone
+IDLE = 2_000.0  # from which an inbound connection may be closed where they are many
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """How an ingress's descriptors are dealt out: inbound connections, those over them, outbound ones."""
+
+    inbound: int
+    surplus: int
+    outbound: int
+
+    @staticmethod
+    def of(sockets: int) -> Budget:
+        surplus = min(SURPLUS, int(sockets * SURPLUS_PART))
+        room = sockets - RESERVE - surplus
+        clients = int(sockets * CLIENTS_PART)
+        inbound = clients + int((room - clients) * OTHERS_PART)
+        return Budget(inbound, surplus, room - inbound)
+
+
+class Outbounds(Protocol):
+    """What may close an idle outbound connection to make room; False where there is none."""
+
+    def shed(self) -> bool: ...
+
+
+class Doorway:
+    """Inbound connections that stand, the listener before them, and their budget."""
+
+    def __init__(self, host: Host, budget: Budget, outbound: Outbounds) -> None:
+        self._host, self.budget, self._outbound = host, budget, outbound
+        self._loop = asyncio.get_running_loop()
+        self.inbound: set[Inbound] = set()
+        self._backlog = Backlog()
+        self._emptied = asyncio.Event()
+
+    def listen(self, name: str, address: Address, inherited: int | None) -> Address:
+        """Where it listens: the port may have been left to the system, or all of it to the process before."""
+        if inherited is not None:  # it listens already, and the process before may still take from it
+            self.listener = socket.socket(fileno=inherited)
+            self.listener.setblocking(False)
+        else:
+            self.listener = address.listener(BACKLOG)
+        where = Address(*self.listener.getsockname()[:2])
+        if inherited is not None:
+            logger.info("{} takes the inherited listener {} on {}", name, self.listener.fileno(), where)
+        else:
+            logger.info("{} listens on {}", name, where)
+        return where
+
+    async def accept(self) -> None:
+        while True:
+            # Past the surplus even a refusal would cost a descriptor that is not there: clients queue.
+            while len(self.inbound) >= self.budget.inbound + self.budget.surplus and not self.shed(True):
+                await asyncio.sleep(0.01)
+            try:
+                sock, _ = await self._loop.sock_accept(self.listener)
+                self._opened(sock)
+                self.empty_backlog(ACCEPTED)
+                await asyncio.sleep(0)
+            except OSError as error:
+                # Out of descriptors the backlog keeps its clients until there is room again.
+                if error.errno in NO_ROOM and (self._outbound.shed() or self.shed()):
+                    continue
+                logger.warning("cannot accept: {}", error)
+                await asyncio.sleep(0.05)
+
+    def empty_backlog(self, most: int = BACKLOG) -> None:
+        for _ in range(most):
+            if len(self.inbound) >= self.budget.inbound + self.budget.surplus:
+                break
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                self._backlog.emptied()
+                return
+            self._opened(sock)
+        self._backlog.not_emptied(self._host.pulse)
+
+    def _opened(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self._host.traffic.clients_opened += 1
+        surplus = len(self.inbound) >= self.budget.inbound and not self.shed()
+        try:
+            self.inbound.add(Inbound(self._host, sock, self._backlog.came(self._host.pulse), surplus))
+        except OSError:  # gone before it was looked at
+            sock.close()
+
+    def shed(self, surplus: bool = False) -> bool:
+        """Close the inbound connection that is missed least, and is owed nothing: none that has just come, as
+        its request may be on its way or here unread. One that asked once, if at all, goes before one that
+        clients use; then the one idle for longest. False where there is none."""
+        now = self._host.clock.now()
+        idle = [c for c in self.inbound if c.idle and now - c.used > FRESH and (surplus or not c.surplus)]
+        idle.sort(key=lambda connection: (connection.asked > 1, connection.used))
+        for connection in idle:
+            if not connection.has_input():
+                connection.close()
+                return True
+        return False
+
+    def close_idle(self, now: float) -> None:
+        """Where they are many, those that have been idle long make room before the budget is full."""
+        if len(self.inbound) > self.budget.inbound // 2:
+            for connection in list(self.inbound):
+                if connection.idle and now - connection.used > IDLE and not connection.has_input():
+                    connection.close()
+
+    def close_all(self) -> None:
+        for connection in list(self.inbound):
+            connection.close()
+
+    def gone(self, connection: Inbound) -> None:
+        self.inbound.discard(connection)
+        if not self.inbound:
+            self._emptied.set()
+
+    async def empty(self) -> None:
+        """Until the last connection has closed."""
+        while self.inbound:
+            # Cleared first: it is set whenever the last connection closes, which happens on any quiet
+            # day, and once let the ingress stop with requests unanswered.
+            self._emptied.clear()
+            await self._emptied.wait()
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -3,16 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import random
 import resource
-import socket
-from collections import deque
-from collections.abc import Callable
 from dataclasses import replace
-from heapq import heappop, heappush
-from math import ceil, inf
-from typing import Any, Protocol
+from typing import Any
 
 from loguru import logger
 
@@ -22,25 +16,20 @@
 from dockthread.module.rules import Gateway
 from dockthread.net import resp
 from dockthread.net.counter import Counter
+from dockthread.net.decider import Decider
 from dockthread.net.destination_set import DestinationSet, Watch
+from dockthread.net.doorway import Budget, Doorway
 from dockthread.net.inbound import Inbound, Slot
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.outbound import Outbound, OutboundCall
 from dockthread.net.peers import Peers
-from dockthread.net.pulse import PERIOD, Backlog, Pulse
+from dockthread.net.pulse import PERIOD, Pulse
+from dockthread.net.request import Request, Routes
+from dockthread.net.timers import Timers
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
 from dockthread.ops import retune
-from dockthread.settings import Address, Config
-
-BACKLOG = 1024
-RESERVE = 24  # descriptors for all but connections: standard streams, the loop's own, listener, watch
-SURPLUS = 32  # inbound connections over their budget that are accepted only to be told to come again, at most
-SURPLUS_PART = 1 / 16  # of the descriptors
-CLIENTS_PART = 1 / 3  # of the descriptors that clients hold for requests at most
-OTHERS_PART = 1 / 4  # of what is left then, for clients that hold a connection and ask nothing
-ACCEPTED = 16  # connections in a row, before those that stand have their turn
-FRESH = 100.0  # for which a connection that has just come, or just been used, is left alone
-IDLE = 2_000.0  # from which an inbound connection may be closed where they are many
+from dockthread.settings import Config
+
 HOUSEKEEPING = 250.0  # between rounds of it
 GUARDED = 2 * HOUSEKEEPING  # time left from which a request's deadline has a timer of its own
 LINGER = 500.0  # after SIGTERM, in which the front still sends
@@ -48,42 +37,6 @@
 LATE_PART = 0.1  # of a request's time: where no more can be left, it is refused at once, unsent and so harmless
 WAY_BACK = 5.0  # of a request's time: its way here, the answer's back, and the lateness of an alarm
 HELD_PART = 1 / 8  # of the memory, for requests' bodies
-NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-
-
-class Request(Slot):
-    """A request from its arrival until it is answered and no call of it is out."""
-
-    __slots__ = ("ask", "calls", "connection", "deadline", "gone", "guarded", "number", "out", "taken")
-
-    def __init__(
-        self, number: int, connection: Inbound, ask: resp.Ask, deadline: float, left: float
-    ) -> None:
-        super().__init__()
-        self.taken = deadline - left
-        self.number, self.connection, self.ask, self.deadline = number, connection, ask, deadline
-        self.calls: list[OutboundCall] = []
-        self.out = 0
-        self.gone = self.guarded = False
-
-    @property
-    def finished(self) -> bool:
-        return self.gone or self.answer is not None
-
-
-class Bounds(api.Route, Protocol):
-    """What a request's route adds for the ingress itself; in milliseconds, 0 for none."""
-
-    @property
-    def timeout(self) -> float: ...
-
-
-class Routes(Protocol):
-    """Where a request's route is found; `spent` is what each has used, for whoever counts."""
-
-    spent: dict[str, Any]
-
-    def bounds(self, ask: resp.Ask) -> Bounds | None: ...
 
 
 class Ingress:
@@ -99,29 +52,21 @@
         tells = module.may_tell and config.peers is not None
         module = replace(module, may_count=counts, may_tell=tells, ahead=clock.unix_offset / 1000.0)
         self.gateway = Gateway(module, config.seed, clock.now() / 1000.0)
-        self._tick = max(1.0, config.module.tick * 1000.0)
+        self._decider = Decider(self.gateway, clock, self._abandon)
+        self._tell = self._decider.tell
+        self.timers = Timers(clock, config.module.tick * 1000.0)
+        self.at = self.timers.at
         self._advice = config.module.most_advice * 1000.0
-        self._events: deque[api.Event] = deque()
-        self._telling = False
         self.requests: dict[int, Request] = {}
         self._numbers = 0
         self._open_ids: set[bytes] = set()
         self._held = 0
         self._most_held = int(config.memory_mb * HELD_PART * 1024 * 1024)
-        self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._timer_count = 0
-        self._armed, self._alarm = inf, None  # type: float, asyncio.TimerHandle | None
         self.address = config.listen
         self._stop = asyncio.Event()
-        self._emptied = asyncio.Event()
-        self._inbound: set[Inbound] = set()
         self._beating: asyncio.TimerHandle | None = None
-        self.pulse, self._backlog = Pulse(clock.now()), Backlog()
-        sockets = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self._surplus = min(SURPLUS, int(sockets * SURPLUS_PART))
-        room = sockets - RESERVE - self._surplus
-        clients = int(sockets * CLIENTS_PART)
-        self._most_inbound = clients + int((room - clients) * OTHERS_PART)
+        self.pulse = Pulse(clock.now())
+        self.budget = Budget.of(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
         self.destinations = DestinationSet(config.names, clock)
         self.outbound = Outbound(
             self.destinations,
@@ -129,26 +74,21 @@
             resp.ReplyReader(config.module.load_names),
             self._call_ended,
             self.at,
-            most=room - self._most_inbound,
+            most=self.budget.outbound,
             conn_idle=config.conn_idle,
             connect_timeout=config.connect_timeout,
             traffic=self.traffic,
         )
         self.destinations.moved = self.outbound.forget
+        self.doorway = Doorway(self, self.budget, self.outbound)
         hurry = config.module.safety.drain_grace * 1000.0 / 2
         backoff = Backoff(random.Random(config.seed), config.module.gateways, hurry)
         self.watch = Watch(config.discovery, self.destinations, clock, self._listed, backoff)
-        self.counter = Counter(
-            config.counter,
-            clock,
-            self._tell,
-            self.at,
-            timeout=config.counter_timeout,
-        )
+        self.counter = Counter(config.counter, clock, self._tell, self.at, timeout=config.counter_timeout)
         self.peers = Peers(config.peers if tells else None, module.number, self._tell, self.traffic)
         self.observe(self.observer)
         self.routes: Routes | None = None
-        self._carry_out: dict[type, Callable[[Any], None]] = {
+        self._decider.carry_out = {
             api.Send: self._send,
             api.Refuse: self._refuse,
             api.Fail: self._fail,
@@ -172,13 +112,16 @@
     @property
     def clients(self) -> int:
         """Inbound connections that stand."""
-        return len(self._inbound)
+        return len(self.doorway.inbound)
 
     @property
     def held(self) -> int:
         """Bytes that the bodies of open requests hold."""
         return self._held
 
+    def closed(self, connection: Inbound) -> None:
+        self.doorway.gone(connection)
+
     def observe(self, observer: Observer) -> None:
         """Have another observer told from now on."""
         self.observer = self.counter.observer = self.outbound.observer = self.watch.observer = observer
@@ -220,40 +163,37 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
-        listener = self._listen()
+        doorway = self.doorway
+        self.address = doorway.listen(self.config.name, self.config.listen, self.config.inherited)
         self._tell(self.destinations.apply(self.config.known, cached=True))
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
         self._housekeeping()
         self._beat()
         watching = self._loop.create_task(self.watch.run())
-        accepting = self._loop.create_task(self._accept(listener))
+        accepting = self._loop.create_task(doorway.accept())
         self.lifecycle.enter(Phase.SERVING)
         try:
             await self._stop.wait()
             self.lifecycle.enter(Phase.LINGERING)
             await self._pause(LINGER)
             accepting.cancel()
-            self._empty_backlog(listener)
+            doorway.empty_backlog()
             await self._pause(LAST_READS)
-            self._empty_backlog(listener)
-            listener.close()
+            doorway.empty_backlog()
+            doorway.listener.close()
             self.lifecycle.enter(Phase.DRAINING)
             self.peers.close()  # nothing new is let in; at an upgrade the next process takes the address
-            for connection in list(self._inbound):
+            for connection in list(self.doorway.inbound):
                 connection.close_if_done()
             # By then all is answered; what still stands is a client that does not read.
             longest = max(c.deadline for c in self.config.module.classes) * 1000.0
-            self.at(self.clock.now() + longest + LINGER, self._close_all)
-            while self._inbound:
-                # Cleared first: it is set whenever the last connection closes, which happens on any quiet
-                # day, and once let the ingress stop with requests unanswered.
-                self._emptied.clear()
-                await self._emptied.wait()
+            self.at(self.clock.now() + longest + LINGER, doorway.close_all)
+            await doorway.empty()
         finally:
             watching.cancel()
             accepting.cancel()
-            listener.close()
+            doorway.listener.close()
             if self._beating is not None:
                 self._beating.cancel()
             self.outbound.close()
@@ -261,86 +201,6 @@
             self.peers.close()
             self.lifecycle.enter(Phase.STOPPED)
 
-    def _listen(self) -> socket.socket:
-        address = self.config.listen
-        if self.config.inherited is not None:  # it listens already, and the process before may still take from it
-            listener = socket.socket(fileno=self.config.inherited)
-            listener.setblocking(False)
-            self.address = Address(*listener.getsockname()[:2])
-            logger.info("{} takes the inherited listener {} on {}", self.config.name, listener.fileno(), self.address)
-            return listener
-        listener = address.listener(BACKLOG)
-        self.address = Address(*listener.getsockname()[:2])  # its port may have been left to the system
-        logger.info("{} listens on {}", self.config.name, self.address)
-        return listener
-
-    async def _accept(self, listener: socket.socket) -> None:
-        while True:
-            # Past the surplus even a refusal would cost a descriptor that is not there: clients queue.
-            while len(self._inbound) >= self._most_inbound + self._surplus and not self._shed_inbound(True):
-                await asyncio.sleep(0.01)
-            try:
-                sock, _ = await self._loop.sock_accept(listener)
-                self._opened(sock)
-                self._empty_backlog(listener, ACCEPTED)
-                await asyncio.sleep(0)
-            except OSError as error:
-                # Out of descriptors the backlog keeps its clients until there is room again.
-                if error.errno in NO_ROOM and (self.outbound.shed() or self._shed_inbound()):
-                    continue
-                logger.warning("cannot accept: {}", error)
-                await asyncio.sleep(0.05)
-
-    def _empty_backlog(self, listener: socket.socket, most: int = BACKLOG) -> None:
-        for _ in range(most):
-            if len(self._inbound) >= self._most_inbound + self._surplus:
-                break
-            try:
-                sock, _ = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                self._backlog.emptied()
-                return
-            self._opened(sock)
-        self._backlog.not_emptied(self.pulse)
-
-    def _opened(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        self.traffic.clients_opened += 1
-        surplus = len(self._inbound) >= self._most_inbound and not self._shed_inbound()
-        try:
-            self._inbound.add(Inbound(self, sock, self._backlog.came(self.pulse), surplus))
-        except OSError:  # gone before it was looked at
-            sock.close()
-
-    def _shed_inbound(self, surplus: bool = False) -> bool:
-        """Close the inbound connection that is missed least, and is owed nothing: none that has just come, as
-        its request may be on its way or here unread. One that asked once, if at all, goes before one that
-        clients use; then the one idle for longest. False where there is none."""
-        now = self.clock.now()
-        idle = [c for c in self._inbound if c.idle and now - c.used > FRESH and (surplus or not c.surplus)]
-        idle.sort(key=lambda connection: (connection.asked > 1, connection.used))
-        for connection in idle:
-            if not connection.has_input():
-                connection.close()
-                return True
-        return False
-
-    def _close_idle(self, now: float) -> None:
-        """Where they are many, those that have been idle long make room before the budget is full."""
-        if len(self._inbound) > self._most_inbound // 2:
-            for connection in list(self._inbound):
-                if connection.idle and now - connection.used > IDLE and not connection.has_input():
-                    connection.close()
-
-    def _close_all(self) -> None:
-        for connection in list(self._inbound):
-            connection.close()
-
-    def closed(self, connection: Inbound) -> None:
-        self._inbound.discard(connection)
-        if not self._inbound:
-            self._emptied.set()
-
     def _beat(self) -> None:
         self.pulse.beat(self.clock.now())
         self._beating = self._loop.call_later(PERIOD / 1000.0, self._beat)
@@ -357,40 +217,9 @@
         for request in self.requests.values():
             if request.deadline <= now + GUARDED and not request.guarded:
                 self._guard(request)
-        for connection in list(self._inbound):
+        for connection in list(self.doorway.inbound):
             connection.check(now)
-        self._close_idle(now)
-
-    # Timers: one heap, one alarm of the loop
-
-    def at(self, due: float, then: Callable[..., None], *args: Any) -> None:
-        self._timer_count += 1
-        heappush(self._timers, (due, self._timer_count, then, args))
-        if due < self._armed - self._tick:  # within the same tick or so the alarm serves both
-            self._arm()
-
-    def _arm(self) -> None:
-        if self._alarm is not None:
-            self._alarm.cancel()
-        self._armed = self._timers[0][0]
-        # Due at the end of the module's tick, as in the simulator: the timers of one tick share an alarm.
-        tick, now = self._tick, self.clock.now()
-        wait = max(1, ceil(ceil(max(now, self._armed) / tick) * tick - now)) / 1000.0
-        self._alarm = self._loop.call_later(wait, self.run_timers)
-
-    def run_timers(self) -> None:
-        timers, now = self._timers, self.clock.now()
-        self._armed = -inf  # nothing that is set meanwhile needs an alarm of its own
-        while timers and timers[0][0] <= now:
-            _, _, then, args = heappop(timers)
-            try:
-                then(*args)
-            except Exception:
-                logger.exception("a timer failed")
-        if timers:
-            self._arm()
-        else:
-            self._armed = inf
+        self.doorway.close_idle(now)
 
     async def _pause(self, ms: float) -> None:
         over = self._loop.create_future()
@@ -399,36 +228,6 @@
 
     # What happens, told to the module
 
-    def _tell(self, event: api.Event) -> None:
-        """Events are told one after another: one that comes of carrying out an action waits for its turn."""
-        self._events.append(event)
-        if self._telling:
-            return
-        self._telling = True
-        try:
-            while self._events:
-                self._decide(self._events.popleft())
-        finally:
-            self._telling = False
-
-    def _decide(self, event: api.Event) -> None:
-        broken = False
-        try:
-            actions = self.gateway.handle(self.clock.now() / 1000.0, event)
-        except Exception:
-            logger.exception("the module failed on {!r}", event)
-            # What it had decided until then stands in its memory, and so must be done; its own next round
-            # may be among it.
-            actions, broken = list(self.gateway.actions), True
-        for action in actions:
-            try:
-                self._carry_out[type(action)](action)
-            except Exception:
-                logger.exception("{!r} could not be carried out", action)
-                self._abandon(getattr(action, "request", -1))
-        if broken:
-            self._abandon(getattr(event, "request", -1))
-
     def _abandon(self, number: int) -> None:
         """After a fault: a final answer that is true whatever has run, and no more calls for the request."""
         request = self.requests.get(number)
@@ -466,15 +265,8 @@
             self._guard(request)
         self._tell(
             api.RequestArrived(
-                request.number,
-                ask.request_class,
-                ask.plan,
-                ask.customer,
-                left / 1000.0,
-                ask.units,
-                ask.spread,
-                ask.first,
-                route,
+                request.number, ask.request_class, ask.plan, ask.customer, left / 1000.0, ask.units, ask.spread,
+                ask.first, route,
             )
         )
         return request
@@ -521,15 +313,8 @@
             self._answer(request, resp.served(reply.value), SERVED)
         self._tell(
             api.AttemptEnded(
-                call.request,
-                call.number,
-                call.worker,
-                reply.outcome,
-                request.finished,
-                (self.clock.now() - call.started) / 1000.0,
-                reply.cost if first else 0.0,
-                reply.used,
-                reply.load,
+                call.request, call.number, call.worker, reply.outcome, request.finished,
+                (self.clock.now() - call.started) / 1000.0, reply.cost if first else 0.0, reply.used, reply.load,
             )
         )
         self._settle(request)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -154,12 +154,12 @@
             late = await Client.open(ingress.address.port)
             assert await late.call() == b"value"
             clock.advance(499)
-            ingress.run_timers()
+            ingress.timers.run()
             assert ingress.lifecycle.phase is Phase.LINGERING
             for _ in range(2):  # the end of lingering, and the last reads
                 clock.advance(21)
-                ingress.run_timers()
-                await until(lambda: ingress._timers)
+                ingress.timers.run()
+                await until(lambda: ingress.timers)
                 await late.call() if ingress.lifecycle.ready else None
             await until(lambda: ingress.lifecycle.phase is Phase.STOPPED)
             assert [await late.answer(), await client.answer()] == [None, None]
--- a/tests/test_routes_on_sockets.py
+++ b/tests/test_routes_on_sockets.py
@@ -175,7 +175,7 @@
             await until(lambda: spent.refused_limit == 1)
             assert len(spent.queue) == 2
             clock.advance(1001)  # the wait is over for the one that is left and for the dear one
-            ingress.run_timers()
+            ingress.timers.run()
             assert (await dear.answer()).startswith("BUSY")
             assert spent.refused_limit == 3
             gate.set()
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -190,7 +190,7 @@
             client.ask("checkout", d=2000)
             await until(lambda: backend.seen)
             clock.advance(1988)  # 8 ms earlier for the module's two ticks, and some for the way back
-            ingress.run_timers()
+            ingress.timers.run()
             assert await client.answer() == "ERR failed"  # it may have run, so not -BUSY
             await until(lambda: backend.closed == 1 and not ingress.requests)
 
@@ -291,14 +291,14 @@
             assert len(ingress.outbound) == most
             # Over their budget clients still get an answer, and an idle one makes room before a busy one.
             clients = list[Client]()
-            while len(ingress._inbound) < ingress._most_inbound:
-                standing = len(ingress._inbound)
+            while len(ingress.doorway.inbound) < ingress.budget.inbound:
+                standing = len(ingress.doorway.inbound)
                 clients.append(await Client.open(ingress.address.port))
-                await until(lambda: len(ingress._inbound) > standing)  # noqa: B023
+                await until(lambda: len(ingress.doorway.inbound) > standing)  # noqa: B023
                 clock.advance(1)
             clock.advance(200)
             clients += [await Client.open(ingress.address.port) for _ in range(4)]
-            await until(lambda: len(ingress._inbound) == ingress._most_inbound)
+            await until(lambda: len(ingress.doorway.inbound) == ingress.budget.inbound)
             assert sum([await c.answer() is None for c in clients[:3]]) == 3
             clients[-1].send(b"PING")
             assert await clients[-1].answer() == b"PONG"
@@ -310,7 +310,7 @@
     async def scenario() -> None:
         async with serving(Backend(hangs), limits={"sockets": 80}) as (ingress, client, _):
             ingress.outbound._most = 1_000
-            most, surplus = ingress._most_inbound, ingress._surplus
+            most, surplus = ingress.budget.inbound, ingress.budget.surplus
             clients = [client, *[await Client.open(ingress.address.port) for _ in range(most - 1)]]
             for number, one in enumerate(clients):
                 one.asked += number
@@ -319,7 +319,7 @@
             late = [await Client.open(ingress.address.port) for _ in range(surplus + 3)]
             late[-1].asked += most
             assert await late[-1].call() == "BUSY"
-            assert len(ingress._inbound) <= most + surplus
+            assert len(ingress.doorway.inbound) <= most + surplus
             clients[0].writer.close()
             await until(lambda: len(ingress.requests) < most)
             again = await Client.open(ingress.address.port)
@@ -337,16 +337,16 @@
             assert await usual.answer() == b"PONG"
             silent, half = [await Client.open(ingress.address.port) for _ in range(2)]
             half.writer.write(b"*4\r\n$8\r\nAPI.READ\r\n$16\r\n0000")
-            await until(lambda: any(c.half for c in ingress._inbound))
+            await until(lambda: any(c.half for c in ingress.doorway.inbound))
             clock.advance(1_400)
             ingress._housekeeping()
-            assert len(ingress._inbound) == 3
+            assert len(ingress.doorway.inbound) == 3
             clock.advance(200)
             ingress._housekeeping()
             assert await silent.answer() is None
             clock.advance(1_000)  # a head may take 2 s to come whole
             ingress._housekeeping()
-            assert len(ingress._inbound) == 2 and any(c.half for c in ingress._inbound)
+            assert len(ingress.doorway.inbound) == 2 and any(c.half for c in ingress.doorway.inbound)
             clock.advance(500)
             ingress._housekeeping()
             assert [await half.answer(), await half.answer()] == [
@@ -365,10 +365,10 @@
             assert [await usual.call() for _ in range(2)] == [b"value"] * 2
             others = [await Client.open(ingress.address.port)]
             others[0].writer.write(b"*1\r\n")
-            await until(lambda: any(c.half for c in ingress._inbound))
+            await until(lambda: any(c.half for c in ingress.doorway.inbound))
             clock.advance(1)
-            others += [await Client.open(ingress.address.port) for _ in range(ingress._most_inbound - 2)]
-            await until(lambda: len(ingress._inbound) == ingress._most_inbound)
+            others += [await Client.open(ingress.address.port) for _ in range(ingress.budget.inbound - 2)]
+            await until(lambda: len(ingress.doorway.inbound) == ingress.budget.inbound)
             clock.advance(200)
             others.append(await Client.open(ingress.address.port))
             assert await others[0].answer() is None  # half a command holds no descriptor
@@ -387,7 +387,7 @@
     async def scenario() -> None:
         clock = ManualClock()
         async with serving(Backend(), clock=clock, limits={"sockets": 80}) as (ingress, _, _):
-            stayed = [await Client.open(ingress.address.port) for _ in range(ingress._most_inbound - 1)]
+            stayed = [await Client.open(ingress.address.port) for _ in range(ingress.budget.inbound - 1)]
             for one in stayed:
                 one.send(b"PING")  # asks once, and keeps its connection
                 assert await one.answer() == b"PONG"
@@ -399,11 +399,11 @@
                 one.ask()
             assert [await one.answer() for one in new] == [b"value"] * 5
             clock.advance(200)
-            silent = next(iter(ingress._inbound))
+            silent = next(iter(ingress.doorway.inbound))
             silent.sock = Unread(silent.sock)  # type: ignore[assignment]
-            while ingress._shed_inbound():
+            while ingress.doorway.shed():
                 pass
-            assert ingress._inbound == {silent}  # what is here unread is a claim
+            assert ingress.doorway.inbound == {silent}  # what is here unread is a claim
 
     run(scenario())
 
@@ -465,12 +465,12 @@
                     away.writer.close()
                     await until(lambda: not ingress.requests)
                     idle = await Client.open(ingress.address.port)
-                    await until(lambda: len(ingress._inbound) == 2)
-                    next(c for c in ingress._inbound if c.idle and not c.asked).close()
+                    await until(lambda: len(ingress.doorway.inbound) == 2)
+                    next(c for c in ingress.doorway.inbound if c.idle and not c.asked).close()
                     assert await idle.answer() is None
-                await until(lambda: len(ingress._inbound) == 1)
+                await until(lambda: len(ingress.doorway.inbound) == 1)
                 clock.advance(300)  # the timers of their connecting are over
-                ingress.run_timers()
+                ingress.timers.run()
                 # Each held 8 to 16 KiB and more until a collection, and those are far between.
                 assert standing() <= before + 2
             finally:
@@ -504,7 +504,7 @@
                 if backend.closed:
                     break
                 clock.advance(25)
-                ingress.run_timers()
+                ingress.timers.run()
                 await asyncio.sleep(0.005)
             assert await client.answer() == "ERR failed"
             assert len(backend.seen) == 1
--- a/tests/test_telemetry_on_sockets.py
+++ b/tests/test_telemetry_on_sockets.py
@@ -309,13 +309,13 @@
             for _ in range(60):
                 await client.call()
                 clock.advance(1000)
-                ingress.run_timers()
+                ingress.timers.run()
                 await until(lambda: exporter._task.done())
                 assert sender.backlog.size <= sender.backlog.most
             assert sender.backlog.dropped and len(sender.backlog) > 5
             stand_in.behave()
             clock.advance(1000)
-            ingress.run_timers()
+            ingress.timers.run()
             name = ("status", "gross", "served")
             await until(lambda: totals(ledger, "plaintext").get(name) == 60)
             stamps = [at for _, at, _ in ledger.points("plaintext", series("plaintext", *name))]
