Agree on one log by majority: a core free of I/O, simulated faults, a checker, planted bugs

Need: work in turns, failover in common and shared duties need one order that all ingresses keep to while processes crash, stall and are cut off; there was none.

`run` loads nothing of it.

The first runs found a core fault: voters that were not there could be taken in until no majority was left; a new voter must now have answered and be near.

--- a/dockthread/cli/lab.py
+++ b/dockthread/cli/lab.py
@@ -11,6 +11,7 @@
 import click
 
 from dockthread import api
+from dockthread.cli.lab_fleet import fleet
 from dockthread.lab.arrivals import Mix, read_trace, shape, weights, write_trace
 from dockthread.lab.load import Target
 from dockthread.lab.outcome import OUTCOMES, Outcome
@@ -28,6 +29,9 @@
     """Put an ingress under known load."""
 
 
+lab.add_command(fleet)
+
+
 def parsed(parse: Any) -> Any:
     """A click callback from a parser that raises ValueError."""
 
--- /dev/null
+++ b/dockthread/cli/lab_fleet.py
@@ -0,0 +1,93 @@
+"""`dockthread lab fleet`: members of an agreement under faults in simulated time. Exit codes: 0 all held; 1 a rule
+broke (with a planted bug: it was found); 2 the arguments are wrong."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import Any
+
+import click
+
+from dockthread.lab.fleet.plants import NAMES
+from dockthread.lab.fleet.seeds import SCENARIOS, many, story
+
+BROKE = 1
+LONGEST = 1_000_000  # seeds in one run
+
+
+@click.group("fleet")
+def fleet() -> None:
+    """Rehearse many members together, with faults between them."""
+
+
+def seeds_of(ctx: click.Context, param: click.Parameter, value: str) -> range:
+    first, dots, last = value.partition("..")
+    if not first.isdigit() or (dots and not last.isdigit()):
+        raise click.BadParameter(f"{value!r}: write SEED or FIRST..LAST")
+    found = range(int(first), int(last or first) + 1)
+    if not 0 < len(found) <= LONGEST:
+        raise click.BadParameter(f"{value!r}: from 1 to {LONGEST} seeds, the first before the last")
+    return found
+
+
+@fleet.command()
+def scenarios() -> None:
+    """The shipped scenarios, the name first."""
+    for name, scenario in SCENARIOS.items():
+        click.echo(f"{name}  {scenario.about}")
+
+
+scenario_argument = click.argument("scenario", type=click.Choice(list(SCENARIOS)))
+plant_option = click.option("--plant", default="", metavar="NAME", help="A planted bug to be found, or `list`.")
+json_option = click.option("--json", "as_json", is_flag=True, help="One line of JSON.")
+
+
+def planted(name: str) -> str:
+    if name == "list":
+        for one in NAMES:
+            click.echo(f"{one}  a planted bug")
+        raise SystemExit(0)
+    if name and name not in NAMES:
+        raise click.BadParameter(f"--plant {name!r} is none of: {', '.join(NAMES)}")
+    return name
+
+
+@fleet.command()
+@scenario_argument
+@click.option("--seeds", default="0..99", show_default=True, callback=seeds_of, metavar="A..B")
+@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
+@plant_option
+@json_option
+def seeds(scenario: str, seeds: range, jobs: int, plant: str, as_json: bool) -> None:
+    """Play many seeds; each one that breaks a rule is named."""
+    plant, played = planted(plant), 0
+    broken: list[dict[str, Any]] = []
+    for count, found in many(scenario, seeds, jobs, plant):
+        played += count
+        broken += [{"seed": seed, "rule": b.rule, "at": round(b.at, 3), "story": b.story} for seed, b in found]
+        if plant and broken:
+            break
+    if as_json:
+        click.echo(json.dumps({"scenario": scenario, "plant": plant, "played": played, "broken": broken}))
+    else:
+        for one in broken:
+            click.echo(f"seed {one['seed']}: {one['rule']} at {one['at']:.0f} ms: {one['story']}")
+        click.echo(f"{played} seeds of {scenario}, {len(broken)} broke a rule")
+    sys.exit(BROKE if broken else 0)
+
+
+@fleet.command()
+@scenario_argument
+@click.argument("seed", type=click.IntRange(0))
+@plant_option
+@json_option
+def replay(scenario: str, seed: int, plant: str, as_json: bool) -> None:
+    """One seed's story, line by line; the same each time."""
+    broken, record = story(SCENARIOS[scenario], seed, planted(plant))
+    told = [f"{b.rule} at {b.at:.0f} ms: {b.story}" for b in broken]
+    if as_json:
+        click.echo(json.dumps({"record": record, "broken": told}))
+    else:
+        click.echo("\n".join([*record, *(f"BROKEN {one}" for one in told)]))
+    sys.exit(BROKE if broken else 0)
--- /dev/null
+++ b/dockthread/fleet/actions.py
@@ -0,0 +1,95 @@
+"""What an agreement gives to be carried out, what it keeps on disk, and its times. Decides nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from dockthread.fleet.wire import Entry, Message
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    ASKING = "asking"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class Times:
+    """In ms. An election is due after `patience` to twice as much without a leader; a leader speaks each `beat`."""
+
+    patience: float = 600.0
+    beat: float = 100.0
+
+
+@dataclass(slots=True)
+class Stored:
+    """What outlives a process. `state`: of the owner's machine after entry `base`; `entries`: those behind it."""
+
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    base_voters: tuple[str, ...] = ()
+    state: bytes = b""
+    entries: list[Entry] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Term and vote, and the log from entry `start` on, which replaces whatever stood there."""
+
+    term: int
+    vote: str
+    start: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeepState:
+    """A state in place of all entries up to `base`. `whole`: none behind it counts either."""
+
+    base: int
+    base_term: int
+    voters: tuple[str, ...]
+    state: bytes
+    whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    to: str
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """Committed: to be applied in this order, each index once a life."""
+
+    index: int
+    entry: Entry
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    index: int
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReadAt:
+    """A majority still followed after `token` was asked: the state after `index` is not older than the question."""
+
+    token: int
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Became:
+    role: Role
+    term: int
+    leader: str
+
+
+Action = Keep | KeepState | Send | Apply | Restore | ReadAt | Became
--- /dev/null
+++ b/tests/test_fleet_agreement.py
@@ -0,0 +1,146 @@
+"""The agreement: what travels, what a member answers, and many seeds of faults judged by a checker of its own."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+from click.testing import CliRunner
+
+from dockthread.cli.lab import lab
+from dockthread.fleet import wire
+from dockthread.fleet.actions import Apply, Keep, Role, Send, Stored, Times
+from dockthread.fleet.agreement import Agreement
+from dockthread.fleet.wire import COMMAND, VOTERS, Append, Appended, Entry, Spoilt, TakeOver, VoteAnswer, VoteAsk
+from dockthread.lab.fleet.plants import NAMES
+from dockthread.lab.fleet.seeds import SCENARIOS, many, story
+
+THREE = ("a", "b", "c")
+
+
+def member(me: str = "a", stored: Stored | None = None) -> Agreement:
+    return Agreement(me, THREE, stored or Stored(), Times(), random.Random(1), 0.0)
+
+
+def leader() -> Agreement:
+    """`a`, which `b` voted for in term 1 and which has committed its entry of nothing with it."""
+    one = member()
+    one.tick(2_000.0)
+    one.heard(2_001.0, VoteAnswer(1, "b", True, pre=True))
+    one.heard(2_002.0, VoteAnswer(1, "b", True))
+    one.heard(2_003.0, Appended(1, "b", True, 1, 1))
+    assert one.role is Role.LEADER
+    return one
+
+
+def test_a_message_travels_whole_and_what_is_spoilt_says_why() -> None:
+    told = Append(3, "n1", 4, 2, (Entry(3, COMMAND, b"x"),), 4, 9)
+    frame = wire.pack(told, b"key")
+    head, body = frame[: wire.HEAD.size], frame[wire.HEAD.size :]
+    assert wire.length(head) == len(body)
+    assert wire.unpack(head, body, b"key") == told
+    for key, changed in ((b"other", body), (b"key", body[:-1] + b"\x00"), (b"", body)):
+        with pytest.raises(Spoilt, match="tag"):
+            wire.unpack(head, changed, key)
+    with pytest.raises(Spoilt, match="version 9"):
+        wire.length(wire.HEAD.pack(3, 9, bytes(16)))
+    with pytest.raises(Spoilt, match="the most"):
+        wire.length(wire.HEAD.pack(wire.MOST_FRAME + 1, 1, bytes(16)))
+    for rubbish in (b"", b"\xc1", b"\x93\xa1a\x01\x02", b"\xff" * 40):
+        with pytest.raises(Spoilt, match="no message"):
+            wire.unpack(wire.HEAD.pack(len(rubbish), 1, bytes(16)), rubbish)
+
+
+def test_a_vote_is_kept_before_it_is_sent_and_given_once_a_term() -> None:
+    one = member()
+    first = one.heard(5_000.0, VoteAsk(1, "b", 0, 0))
+    at = [type(action) for action in first]
+    assert at.index(Keep) < at.index(Send)
+    assert [a.vote for a in first if isinstance(a, Keep)][-1] == "b"
+    answers = [a.message for a in one.heard(5_001.0, VoteAsk(1, "c", 0, 0)) if isinstance(a, Send)]
+    assert answers == [VoteAnswer(1, "a", False)]
+
+
+def test_no_vote_for_an_older_log_and_none_while_a_leader_is_heard() -> None:
+    one = member(stored=Stored(term=2, entries=[Entry(1, COMMAND), Entry(2, COMMAND)]))
+    assert not granted(one, VoteAsk(3, "b", 5, 1))
+    assert granted(one, VoteAsk(4, "b", 2, 2))
+    one.heard(9_000.0, Append(4, "c", 2, 2, (), 0, 1))
+    assert one.heard(9_100.0, VoteAsk(9, "b", 9, 4)) == []
+    assert one.term == 4, "a member cut off from its leader unseats nobody"
+    assert granted(one, VoteAsk(5, "b", 9, 4, handed=True), 9_200.0), "unless the leader told it to ask"
+
+
+def granted(one: Agreement, ask: VoteAsk, now: float = 5_000.0) -> bool:
+    actions = one.heard(now, ask)
+    return any(isinstance(a, Send) and isinstance(a.message, VoteAnswer) and a.message.granted for a in actions)
+
+
+def test_an_entry_of_an_older_term_is_not_committed_by_count() -> None:
+    one = member(stored=Stored(term=1, entries=[Entry(1, COMMAND, b"old")]))
+    one.tick(2_000.0)
+    one.heard(2_001.0, VoteAnswer(2, "b", True, pre=True))
+    one.heard(2_002.0, VoteAnswer(2, "b", True))
+    assert not [a for a in one.heard(2_003.0, Appended(2, "b", True, 1, 1)) if isinstance(a, Apply)]
+    applied = [a.index for a in one.heard(2_004.0, Appended(2, "b", True, 2, 1)) if isinstance(a, Apply)]
+    assert applied == [1, 2], "with the first of its own term"
+
+
+def test_a_leader_that_reaches_no_majority_stops_and_commits_nothing() -> None:
+    one = leader()
+    index, actions = one.propose(2_100.0, b"alone")
+    assert index == 2
+    for step in range(12):
+        actions += one.tick(2_100.0 + 100 * step)
+    assert one.role is Role.FOLLOWER
+    assert not [a for a in actions if isinstance(a, Apply)]
+    assert one.propose(3_500.0, b"more")[0] is None
+    assert not one.read(3_500.0, 1)[0]
+
+
+@pytest.mark.parametrize(
+    ("voters", "taken"),
+    [("a b c d", False), ("a b", True), ("a", False), ("b c d e", False), ("", False)],
+    ids=["one that is not there", "one less", "two less", "two changes", "none"],
+)
+def test_voters_change_one_at_a_time_and_only_to_who_is_there(voters: str, taken: bool) -> None:
+    one = leader()
+    assert (one.propose(2_100.0, voters.encode(), VOTERS)[0] is not None) is taken
+    if taken:
+        assert one.propose(2_101.0, b"a b c", VOTERS)[0] is None, "while the one before is under way"
+
+
+def test_a_leader_hands_over_to_the_voter_that_is_furthest() -> None:
+    one = leader()
+    told = [a for a in one.hand_over(2_100.0) if isinstance(a, Send) and isinstance(a.message, TakeOver)]
+    assert [a.to for a in told] == ["b"]
+    assert one.propose(2_101.0, b"late")[0] is None
+
+
+@pytest.mark.parametrize("name", list(SCENARIOS))
+def test_no_rule_breaks_in_sixty_seeds_of_each_scenario(name: str) -> None:
+    for _, broken in many(name, range(60), jobs=1):
+        assert not broken
+
+
+@pytest.mark.parametrize("plant", NAMES)
+def test_each_planted_bug_is_found(plant: str) -> None:
+    seeds = {"commit-too-far": range(12, 13), "epoch-unchecked": range(127, 128)}.get(plant, range(50))
+    names = ("work-agreement-five", "work-agreement", "work-agreement-moves")
+    assert any(story(SCENARIOS[name], seed, plant)[0] for name in names for seed in seeds)
+
+
+def test_one_seed_tells_one_story_and_the_commands_say_it() -> None:
+    run = CliRunner().invoke
+    first = run(lab, ["fleet", "replay", "work-agreement", "7"])
+    assert first.exit_code == 0
+    assert first.output == run(lab, ["fleet", "replay", "work-agreement", "7"]).output
+    assert "applies" in first.output
+    found = run(lab, ["fleet", "seeds", "work-agreement", "--seeds", "0..3", "--plant", "small-majority", "--json"])
+    assert found.exit_code == 1
+    assert json.loads(found.output)["broken"][0]["rule"]
+    assert run(lab, ["fleet", "scenarios"]).output.startswith("work-agreement")
+    assert run(lab, ["fleet", "seeds", "work-agreement", "--plant", "list"]).output.split()[0] in NAMES
+    assert run(lab, ["fleet", "seeds", "work-agreement", "--seeds", "9..3"]).exit_code == 2
+    assert run(lab, ["fleet", "seeds", "work-agreement", "--plant", "no-such"]).exit_code == 2
