Settle work in turns among ingresses: the order of work, its log on disk, processes with cuts

Need: staff detached a node at one ingress after another and hoped that nobody took out its neighbour.

Absent the section nothing is opened or loaded.

--- /dev/null
+++ b/benchmarks/turns.py
@@ -0,0 +1,92 @@
+"""How soon a turn is granted, and how soon the next one after the leader's death, by real processes on loopback.
+
+    python -m benchmarks.turns [--members N] [--rounds R] [--delay MS]
+
+Prints p50 and p99 in ms. Ends each process that it started. No part of CI.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from dockthread.lab.fleet.rig import Rig
+
+SETTINGS: dict[str, Any] = {
+    "Classes": [{"Name": "status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure", "Points": 1.0}],
+    "Packages": [{"Name": "gross", "Refill": 1000.0, "PeakUnits": 1000.0}],
+    "Azs": ["hall-a"],
+    "Models": ["type-a"],
+    "Period": 4000,
+}
+LONGEST = 30.0  # s for any one wait
+
+
+def spread(name: str, times: list[float]) -> str:
+    times = sorted(times)
+    return f"{name}: p50 {times[len(times) // 2]:.0f} ms, p99 {times[min(len(times) - 1, len(times) * 99 // 100)]:.0f} ms, {len(times)} times"
+
+
+async def asked(rig: Rig, name: str, do: str) -> tuple[float, int]:
+    began = time.monotonic()
+    status, _ = await rig.call(name, "POST", f"/_work/{do}", {"target": "s-0"})
+    return (time.monotonic() - began) * 1000.0, status
+
+
+async def stands(rig: Rig, among: list[str] | None = None) -> str:
+    async with asyncio.timeout(LONGEST):
+        while not (leader := await rig.leader(among)):
+            await asyncio.sleep(0.02)
+    return leader
+
+
+async def measure(folder: Path, members: int, rounds: int, delay: float) -> None:
+    backend = {"uid": "s-0", "endpoint": "127.0.0.1:6000", "az": "hall-a", "state": "active", "boot_ms": 0}
+    rig = Rig(folder, members, SETTINGS, [backend])
+    await rig.open()
+    try:
+        await stands(rig)
+        await asyncio.sleep(1.0)
+        for link in rig.links.values():
+            link.delay = delay
+        grants, deaths = list[float](), list[float]()
+        for n in range(rounds):
+            took, status = await asked(rig, rig.names[n % members], "ask")
+            if status == 200:
+                grants.append(took)
+            await asked(rig, rig.names[n % members], "done")
+        for _ in range(max(1, rounds // 10) if members > 1 else 0):
+            leader = await stands(rig)
+            rest = [name for name in rig.names if name != leader]
+            rig.kill(leader)
+            began = time.monotonic()
+            while (await asked(rig, rest[0], "ask"))[1] != 200 and time.monotonic() - began < LONGEST:
+                await asyncio.sleep(0.01)
+            deaths.append((time.monotonic() - began) * 1000.0)
+            await asked(rig, rest[0], "done")
+            rig.start(leader)
+            await asyncio.sleep(2.0)
+        print(f"{members} members, {delay:g} ms more each way")
+        print(spread("from ask to grant", grants))
+        if deaths:
+            print(spread("from the leader's death to the next grant", deaths))
+    finally:
+        await rig.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description="times of the order of work, by real processes")
+    parser.add_argument("--members", type=int, default=3, choices=(1, 3, 5, 7))
+    parser.add_argument("--rounds", type=int, default=100)
+    parser.add_argument("--delay", type=float, default=0.0)
+    options = parser.parse_args()
+    with TemporaryDirectory() as folder:
+        asyncio.run(measure(Path(folder), options.members, options.rounds, options.delay))
+
+
+if __name__ == "__main__":
+    main()
--- a/dockthread/cli/main.py
+++ b/dockthread/cli/main.py
@@ -15,6 +15,8 @@
     "check": ("dockthread.cli.files", "check"),
     "config": ("dockthread.cli.files", "config"),
     "metrics": ("dockthread.cli.metrics", "metrics"),
+    "work": ("dockthread.cli.work", "work"),
+    "fleet": ("dockthread.cli.work", "fleet"),
     "lab": ("dockthread.cli.lab", "lab"),
     "completion": ("dockthread.cli.completion", "completion"),
 }
--- /dev/null
+++ b/dockthread/cli/work.py
@@ -0,0 +1,137 @@
+"""`dockthread work` and `dockthread fleet`: asks one ingress's management door, for all of them.
+
+Exit codes: 0 done; 1 the ingress says no, or cannot be reached; 2 the words are wrong."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+
+from dockthread.telemetry.options import host_port
+
+PATIENCE = 10.0  # s for an answer
+
+
+def door_of(ctx: click.Context, param: click.Parameter, value: str) -> tuple[str, int]:
+    found = host_port(value)
+    if found is None:
+        raise click.BadParameter(f"{value!r} is no address: write HOST:PORT of a management door")
+    return found
+
+
+at_option = click.option("--at", required=True, callback=door_of, metavar="HOST:PORT", help="A management door.")
+json_option = click.option("--json", "as_json", is_flag=True, help="As the ingress says it.")
+
+
+def call(at: tuple[str, int], method: str, path: str, body: dict[str, Any] | None = None) -> Any:
+    """The answer's JSON; ends the command with 1 and one line where there is none."""
+    connection = http.client.HTTPConnection(*at, timeout=PATIENCE)
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None)
+        answer = connection.getresponse()
+        text = answer.read().decode(errors="replace")
+    except (OSError, http.client.HTTPException) as error:
+        click.echo(f"{at[0]}:{at[1]}: {error}", err=True)
+        sys.exit(1)
+    finally:
+        connection.close()
+    if answer.status != 200:
+        said = "this ingress is in no fleet" if text.startswith("no such call") else text.strip()
+        click.echo(f"{at[0]}:{at[1]}: {said}", err=True)
+        sys.exit(1)
+    return json.loads(text)
+
+
+def told(request: dict[str, Any]) -> str:
+    why = f" ({request['why']})" if request.get("why") else ""
+    reason = f": {request['reason']}" if request.get("reason") else ""
+    return f"{request['target']}  {request['state']}{reason}{why}"
+
+
+@click.group()
+def work() -> None:
+    """The order of work: which machine is taken out when, settled among the ingresses."""
+
+
+@work.command()
+@click.argument("target")
+@click.option("--why", default="", help="For whoever looks.")
+@click.option("--urgency", default=0, show_default=True, type=click.IntRange(-100, 100), help="Higher goes first.")
+@at_option
+@json_option
+def ask(target: str, why: str, urgency: int, at: tuple[str, int], as_json: bool) -> None:
+    """Ask for a machine's turn. Asked twice it is one request."""
+    said = call(at, "POST", "/_work/ask", {"target": target, "why": why, "urgency": urgency})
+    click.echo(json.dumps(said) if as_json else told(said))
+
+
+@work.command()
+@click.argument("target")
+@at_option
+@json_option
+def done(target: str, at: tuple[str, int], as_json: bool) -> None:
+    """The work is done: the machine comes back, cold."""
+    said = call(at, "POST", "/_work/done", {"target": target})
+    click.echo(json.dumps(said) if as_json else told(said))
+
+
+@work.command()
+@click.argument("target")
+@at_option
+@json_option
+def withdraw(target: str, at: tuple[str, int], as_json: bool) -> None:
+    """Take a request back; a machine that is out comes back."""
+    said = call(at, "POST", "/_work/withdraw", {"target": target})
+    click.echo(json.dumps(said) if as_json else told(said))
+
+
+@work.command("list")
+@at_option
+@json_option
+def list_(at: tuple[str, int], as_json: bool) -> None:
+    """What is asked for, granted, and lately over."""
+    said = call(at, "GET", "/_work")
+    if as_json:
+        click.echo(json.dumps(said))
+        return
+    for request in [*said["work"], *said["over"]]:
+        click.echo(told(request))
+
+
+@click.group()
+def fleet() -> None:
+    """The ingresses among themselves."""
+
+
+@fleet.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--name", required=True, help="The ingress that the folder is for.")
+def init(folder: Path, name: str) -> None:
+    """Make the folder of a member that never had one. One that lost its folder needs a new name."""
+    from dockthread.fleet.store import Lost, Store
+
+    try:
+        Store(folder, name, make=True).close()
+    except (OSError, Lost) as error:
+        click.echo(f"{folder}: {error}", err=True)
+        sys.exit(1)
+    click.echo(f"{folder} is the folder of {name}")
+
+
+@fleet.command()
+@at_option
+@json_option
+def status(at: tuple[str, int], as_json: bool) -> None:
+    """What one member knows: its role, the term, who leads, the voters, how far the log is."""
+    said = call(at, "GET", "/_fleet")
+    if as_json:
+        click.echo(json.dumps(said))
+        return
+    click.echo(f"{said['name']} is {said['role']} in term {said['term']}, led by {said['leader'] or 'nobody'}")
+    click.echo(f"voters: {', '.join(said['voters'])}")
+    click.echo(f"log: {said['last']} entries, {said['commit']} agreed, {said['applied']} applied")
--- a/dockthread/fleet/agreement.py
+++ b/dockthread/fleet/agreement.py
@@ -78,6 +78,7 @@
         self._next: dict[str, int] = {}
         self._match: dict[str, int] = {}
         self._busy: dict[str, int] = {}  # round of the entries under way to a peer
+        self._told: dict[str, int] = {}  # how far each was told that it is committed
         self._round, self._rounds = 0, dict[str, int]()  # of beats; the last that each answered
         self._answered: dict[str, float] = {}  # when each spoke last, to a leader
         self._reads: list[tuple[int, int, int]] = []  # token, index, round
@@ -309,7 +310,8 @@
             self._settle()
         else:
             self._next[peer] = max(self._match.get(peer, 0), min(m.match, self._next.get(peer, 1) - 1)) + 1
-        if self._next[peer] <= self.log.last and peer not in self._busy:
+        behind = self._next[peer] <= self.log.last or self._told.get(peer, 0) < self.commit
+        if behind and peer not in self._busy:
             self._send_entries(peer)
         self._answer_reads()
 
@@ -366,7 +368,7 @@
                 self._send_entries(peer)
 
     def _send_entries(self, peer: str) -> None:
-        start = self._next.setdefault(peer, self.log.last + 1)
+        start, self._told[peer] = self._next.setdefault(peer, self.log.last + 1), self.commit
         if start <= self.log.base:
             log = self.log
             state = Install(self.term, self.me, log.base, log.base_term, log.base_voters, log.state, self._round)
--- /dev/null
+++ b/dockthread/fleet/member.py
@@ -0,0 +1,311 @@
+"""One ingress among the others, on sockets: the rim round the agreement. Decides nothing.
+
+Theory of operation. Messages leave on one TCP connection to each other member, opened when there is something to
+send and again after a pause when it broke; a queue of `MOST_WAITING` frames stands before it, and what does not fit
+is let go, as the agreement sends again whatever matters. What comes in is read from connections that others opened;
+a frame that is spoilt is counted and closes its connection. The agreement's actions are carried out one after
+another by one task, and a write to disk is made in a thread that does nothing else, so that requests go on
+meanwhile and no message leaves before what it rests on is kept.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from dockthread.clock import Clock
+from dockthread.fleet import wire
+from dockthread.fleet.actions import (
+    Action,
+    Apply,
+    Became,
+    Keep,
+    KeepState,
+    Restore,
+    Role,
+    Send,
+    Times,
+)
+from dockthread.fleet.agreement import Agreement
+from dockthread.fleet.options import FleetOptions
+from dockthread.fleet.store import Store
+from dockthread.settings import Address
+
+MOST_WAITING = 256  # frames to one member
+PAUSE = 200.0  # ms before a broken connection is opened again, give or take half
+KEEP_ENTRIES = 512  # applied entries in the log before a state takes their place
+RETRY = 50.0  # ms between tries while nobody leads
+HANDING = 300.0  # ms that a leader waits for another at the end of its life
+
+
+class Link:
+    """Frames to one other member."""
+
+    def __init__(self, to: Address, rng: random.Random) -> None:
+        self._to, self._rng = to, rng
+        self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
+        self._some = asyncio.Event()
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, frame: bytes) -> None:
+        self._waiting.append(frame)
+        self._some.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._some.wait()
+            writer = None
+            try:
+                async with asyncio.timeout(2.0):
+                    _, writer = await asyncio.open_connection(self._to.host, self._to.port)
+                while True:
+                    await self._some.wait()
+                    self._some.clear()
+                    while self._waiting:
+                        writer.write(self._waiting.popleft())
+                    async with asyncio.timeout(5.0):
+                        await writer.drain()
+            except (OSError, TimeoutError):
+                self._waiting.clear()  # old by the time it could be sent
+                await asyncio.sleep(PAUSE * self._rng.uniform(0.5, 1.5) / 1000.0)
+            finally:
+                if writer is not None:
+                    writer.close()
+
+
+class Member:
+    """`apply(index, data)`: what the owner does with each command, in order; `restore(index, state)`: a whole state;
+    `state()`: the owner's state, for a snapshot. All times in ms."""
+
+    def __init__(
+        self,
+        name: str,
+        options: FleetOptions,
+        clock: Clock,
+        seed: int,
+        apply: Callable[[int, bytes], None],
+        restore: Callable[[int, bytes], None],
+        state: Callable[[], bytes],
+    ) -> None:
+        """Raises OSError, ValueError or `store.Lost` where the directory or the key cannot be used."""
+        self.name, self._options, self._clock = name, options, clock
+        self._apply, self._restore, self._state = apply, restore, state
+        self._addresses, self._key = options.addresses(), options.key()
+        self._rng = random.Random(seed)
+        self.store = Store(Path(options.directory), name)
+        if self.store.name != name:
+            self.store.close()
+            raise ValueError(f"[fleet] directory: {options.directory} is of {self.store.name}, and this is {name}")
+        self._times = Times(options.patience, options.beat)
+        self.spoilt = 0
+        self._links: dict[str, Link] = {}
+        self._actions: deque[Action] = deque()
+        self._some = asyncio.Event()
+        self._waiting: dict[int, tuple[int, asyncio.Future[int]]] = {}  # by index: its term, who waits for it
+        self._asked: dict[int, asyncio.Future[int]] = {}  # by token: who waits for the leader's word
+        self._token = 0
+        self._carried = 0  # the last index that the owner has applied
+        self._behind: list[tuple[int, asyncio.Future[None]]] = []  # who waits for the owner to come to an index
+        self._keeper = ThreadPoolExecutor(1, thread_name_prefix="fleet-log")
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._alarm: asyncio.TimerHandle | None = None
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Listen and take part; raises OSError where it cannot."""
+        self._loop = asyncio.get_running_loop()
+        listen = Address.parse(self._options.listen)
+        self._server = await asyncio.start_server(self._read, listen.host, listen.port)
+        stored = self.store.stored
+        if stored.base:
+            self._restore(stored.base, stored.state)
+            self._came_to(stored.base)
+        self._agreement = Agreement(
+            self.name, self._addresses, stored, self._times, self._rng, self._clock.now()
+        )
+        self._links = {n: Link(a, self._rng) for n, a in self._addresses.items() if n != self.name}
+        self._tasks = [self._loop.create_task(self._carry_out())]
+        self._arm()
+        logger.info("fleet: {} takes part at {}, {} members", self.name, self._options.listen, len(self._addresses))
+
+    async def close(self) -> None:
+        """Hand over where it leads, then leave."""
+        if self._agreement.role is Role.LEADER:
+            self._do(self._agreement.hand_over(self._clock.now()))
+            until = self._clock.now() + HANDING
+            while self._agreement.role is Role.LEADER and self._clock.now() < until:
+                await asyncio.sleep(0.01)
+        if self._alarm is not None:
+            self._alarm.cancel()
+        if self._server is not None:
+            self._server.close()
+        for task in [*self._tasks, *(link.task for link in self._links.values())]:
+            task.cancel()
+        for future in [*(f for _, f in self._waiting.values()), *self._asked.values()]:
+            future.cancel()
+        self._keeper.shutdown()
+        self.store.close()
+
+    async def propose(self, data: bytes, most: float = 3_000.0) -> int:
+        """The index at which it stands, once that is agreed and applied here; 0 where that is not known within `most`
+        ms: then it may stand or not. It is handed to whoever leads, and again to the next one when that changes, so
+        the owner has to know it for the same when it comes twice."""
+        try:
+            async with asyncio.timeout(most / 1000.0):
+                while not (index := await self._try(data)):
+                    await asyncio.sleep(RETRY / 1000.0)
+                if index > self._carried:  # the leader is ahead: what is answered here must know of it
+                    behind: asyncio.Future[None] = self._loop.create_future()
+                    self._behind.append((index, behind))
+                    await behind
+                return index
+        except TimeoutError:
+            return 0
+
+    async def _try(self, data: bytes) -> int:
+        """By whoever leads now; 0 where nobody does, or somebody else does before it is known to stand."""
+        future: asyncio.Future[int] = self._loop.create_future()
+        core = self._agreement
+        if core.role is Role.LEADER:
+            self._propose(data, future)
+            return await future
+        if core.leader not in self._links:
+            return 0
+        self._token += 1
+        token = self._token
+        self._asked[token] = future
+        self._links[core.leader].send(wire.pack(wire.Ask(core.term, self.name, token, data), self._key))
+        try:
+            return await future
+        finally:
+            self._asked.pop(token, None)
+
+    def _propose(self, data: bytes, future: asyncio.Future[int]) -> None:
+        index, actions = self._agreement.propose(self._clock.now(), data)
+        if index is None:
+            future.set_result(0)
+        else:
+            self._waiting[index] = (self._agreement.term, future)
+        self._do(actions)
+
+    async def _propose_for(self, ask: wire.Ask) -> None:
+        index = await self._try(ask.data) if self._agreement.role is Role.LEADER else 0
+        if link := self._links.get(ask.sender):
+            link.send(wire.pack(wire.Told(self._agreement.term, self.name, ask.token, index), self._key))
+
+    def status(self) -> dict[str, Any]:
+        core = self._agreement
+        return {
+            "name": self.name,
+            "role": core.role.value,
+            "term": core.term,
+            "leader": core.leader,
+            "voters": list(core.voters),
+            "last": core.log.last,
+            "commit": core.commit,
+            "applied": core.applied,
+            "spoilt": self.spoilt,
+        }
+
+    # Time and messages, told to the agreement
+
+    def _arm(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        wait = max(1.0, self._agreement.due() - self._clock.now()) / 1000.0
+        self._alarm = self._loop.call_later(wait, self._tick)
+
+    def _tick(self) -> None:
+        self._do(self._agreement.tick(self._clock.now()))
+        self._arm()
+
+    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readexactly(wire.HEAD.size)
+                body = await reader.readexactly(wire.length(head))
+                message = wire.unpack(head, body, self._key)
+                if isinstance(message, wire.Ask):
+                    task = self._loop.create_task(self._propose_for(message))
+                    self._tasks.append(task)
+                    task.add_done_callback(self._tasks.remove)
+                elif isinstance(message, wire.Told):
+                    if (asked := self._asked.pop(message.token, None)) and not asked.done():
+                        asked.set_result(message.index)
+                else:
+                    self._do(self._agreement.heard(self._clock.now(), message))
+                    self._arm()
+        except wire.Spoilt as error:
+            self.spoilt += 1
+            logger.debug("fleet: a frame is dropped: {}", error)
+        except (OSError, EOFError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    # What it decides, carried out in order
+
+    def _do(self, actions: list[Action]) -> None:
+        if actions:
+            self._actions.extend(actions)
+            self._some.set()
+
+    async def _carry_out(self) -> None:
+        while True:
+            await self._some.wait()
+            self._some.clear()
+            while self._actions:
+                action = self._actions.popleft()
+                match action:
+                    case Keep() | KeepState():
+                        await self._loop.run_in_executor(self._keeper, self.store.keep, action)
+                    case Send(to, message):
+                        if link := self._links.get(to):
+                            link.send(wire.pack(message, self._key))
+                    case Apply(index, entry):
+                        self._applied(index, entry)
+                    case Restore(index, state):
+                        self._restore(index, state)
+                        self._came_to(index)
+                    case Became(role, term, leader):
+                        self._changed()
+                        logger.info("fleet: {} in term {}, led by {}", role.value, term, leader or "nobody yet")
+
+    def _changed(self) -> None:
+        """Whoever waits for the word of one that led asks the next; one that leads no more cannot say what stands."""
+        waiting = [*self._asked.values()]
+        if self._agreement.role is not Role.LEADER:
+            waiting += [future for _, future in self._waiting.values()]
+            self._waiting.clear()
+        for future in waiting:
+            if not future.done():
+                future.set_result(0)
+
+    def _came_to(self, index: int) -> None:
+        self._carried = index
+        for at, behind in self._behind:
+            if at <= index and not behind.done():
+                behind.set_result(None)
+        self._behind = [(at, behind) for at, behind in self._behind if at > index and not behind.done()]
+
+    def _applied(self, index: int, entry: wire.Entry) -> None:
+        if entry.kind == wire.COMMAND:
+            try:
+                self._apply(index, entry.data)
+            except Exception:
+                logger.exception("fleet: entry {} could not be applied", index)
+        self._came_to(index)
+        if waiting := self._waiting.pop(index, None):
+            term, future = waiting
+            if not future.done():
+                future.set_result(index if term == entry.term else 0)
+        core = self._agreement
+        if core.applied == index and index - core.log.base >= KEEP_ENTRIES:
+            self._do(core.compact(index, self._state()))
--- /dev/null
+++ b/dockthread/fleet/options.py
@@ -0,0 +1,68 @@
+"""The section `[fleet]` of the operator's file. Without it nothing of the fleet is opened, loaded or slowed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from dockthread.operator_file.quantities import Duration
+from dockthread.operator_file.reader import Section
+from dockthread.settings import Address
+from dockthread.telemetry.options import host_port
+
+LEAST_KEY = 16  # bytes of the shared key
+
+
+class FleetOptions(Section, frozen=True, kw_only=True):
+    """`listen`: this ingress's own address among the others; empty for none of it. `members`: all that may vote, as
+    NAME=HOST:PORT, this one included; the same at each. `directory`: for term, vote and log. `key_file`: a key that
+    all share. `most_out`: machines of one hall that may be out for work at once. `patience`: silence of a leader
+    after which another is voted for; `beat`: between its signs of life."""
+
+    listen: str = ""
+    members: tuple[str, ...] = ()
+    directory: str = ""
+    key_file: str = ""
+    patience: Duration = Duration(600.0)
+    beat: Duration = Duration(100.0)
+    most_out: int = 1
+
+    def faults(self) -> Iterable[tuple[str, str, str]]:
+        if not self.listen:
+            if self.members or self.directory or self.key_file:
+                yield "listen", "is missing", "write the address of this ingress among the others, HOST:PORT"
+            return
+        if host_port(self.listen) is None:
+            yield "listen", f"{self.listen!r} is no address", "write HOST:PORT"
+        names = [name.strip() for name, _, _ in (m.partition("=") for m in self.members)]
+        if len(names) not in (1, 3, 5, 7):
+            yield "members", f"names {len(names)}", "name 1, 3, 5 or 7, an odd number that can lose less than half"
+        for member in self.members:
+            name, _, where = member.partition("=")
+            if not name.strip() or any(c.isspace() for c in name.strip()) or host_port(where.strip()) is None:
+                yield "members", f"{member!r} is no member", "write NAME=HOST:PORT"
+        if len(set(names)) < len(names):
+            yield "members", "names one twice", "give each ingress its own name"
+        if not self.directory:
+            yield "directory", "is missing", "name a folder that outlives the process"
+        if self.most_out < 1:
+            yield "most_out", "is under 1", "write how many machines of a hall may be out at once"
+        if self.beat * 3 > self.patience:
+            yield "patience", "is under three beats", "a lost beat would cost a leader its place"
+
+    def addresses(self) -> dict[str, Address]:
+        found: dict[str, Address] = {}
+        for member in self.members:
+            name, _, where = member.partition("=")
+            if (at := host_port(where.strip())) is not None:
+                found[name.strip()] = Address(*at)
+        return found
+
+    def key(self) -> bytes:
+        """Raises OSError where it cannot be read, ValueError where it is too short."""
+        if not self.key_file:
+            return b""
+        key = Path(self.key_file).read_bytes().strip()
+        if not LEAST_KEY <= len(key) <= 64:
+            raise ValueError(f"[fleet] key_file: {self.key_file} holds {len(key)} bytes; {LEAST_KEY} to 64 would do")
+        return key
--- a/dockthread/fleet/wire.py
+++ b/dockthread/fleet/wire.py
@@ -89,7 +89,25 @@
     sender: str
 
 
-Message = VoteAsk | VoteAnswer | Append | Appended | Install | TakeOver
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """A member that does not lead has the leader propose this for it."""
+
+    term: int
+    sender: str
+    token: int
+    data: bytes
+
+
+class Told(msgspec.Struct, frozen=True, array_like=True, tag="r"):
+    """Whether what was asked under `token` stands in the log, at `index`."""
+
+    term: int
+    sender: str
+    token: int
+    index: int
+
+
+Message = VoteAsk | VoteAnswer | Append | Appended | Install | TakeOver | Ask | Told
 
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -94,6 +94,13 @@
             return replace(entry, state=api.WorkerState.DRAINING)
         return entry
 
+    def hall(self, uid: str) -> str | None:
+        """Where a destination stands, as discovery says; empty where that is not known, None for none of this uid."""
+        known = self._by_uid.get(uid)
+        if known is None or known.told is None:
+            return None
+        return next((name for name, number in self._zones.items() if number == known.told.zone), "")
+
     def uid(self, worker: int) -> str:
         return self.by_worker[worker].uid if worker in self.by_worker else "-"
 
--- a/dockthread/ops/door.py
+++ b/dockthread/ops/door.py
@@ -12,13 +12,19 @@
 | /_vars               | GET    | -                    | VARS        |
 | /_backends/detach    | POST   | {"target": "ID"}     | DETACH ID   |
 | /_backends/attach    | POST   | {"target": "ID"}     | ATTACH ID   |
+| /_fleet, /_work      | GET    | -                    | FLEET, WORK |
+| /_work/ask           | POST   | {"target": "ID", "why": "...", "urgency": 0} | WORK_ASK |
+| /_work/done, /_work/withdraw | POST | {"target": "ID"} | WORK_DONE, WORK_WITHDRAW |
+
+The last two rows are there only where the operator's file has a fleet; else they are 404 as any other path.
 """
 
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 
 class Verb(Enum):
@@ -26,12 +32,22 @@
     VARS = "vars"
     DETACH = "detach"
     ATTACH = "attach"
+    FLEET = "fleet"
+    WORK = "work"
+    WORK_ASK = "ask"
+    WORK_DONE = "done"
+    WORK_WITHDRAW = "withdraw"
+
+
+TARGETED = (Verb.DETACH, Verb.ATTACH, Verb.WORK_ASK, Verb.WORK_DONE, Verb.WORK_WITHDRAW)
+FLEET = (Verb.FLEET, Verb.WORK, Verb.WORK_ASK, Verb.WORK_DONE, Verb.WORK_WITHDRAW)
 
 
 @dataclass(frozen=True, slots=True)
 class Command:
     verb: Verb
     target: str = ""
+    more: dict[str, Any] = field(default_factory=dict, compare=False)  # whatever else the body said
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +62,11 @@
     b"/_vars": (b"GET", Verb.VARS),
     b"/_backends/detach": (b"POST", Verb.DETACH),
     b"/_backends/attach": (b"POST", Verb.ATTACH),
+    b"/_fleet": (b"GET", Verb.FLEET),
+    b"/_work": (b"GET", Verb.WORK),
+    b"/_work/ask": (b"POST", Verb.WORK_ASK),
+    b"/_work/done": (b"POST", Verb.WORK_DONE),
+    b"/_work/withdraw": (b"POST", Verb.WORK_WITHDRAW),
 }
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 503: b"Unavailable"}
 
@@ -58,7 +79,7 @@
     wanted, verb = found
     if method != wanted and not (wanted == b"GET" and method == b"HEAD"):
         return Answer(405, b"this call goes by " + wanted + b"\n")
-    if verb not in (Verb.DETACH, Verb.ATTACH):
+    if verb not in TARGETED:
         return Command(verb)
     try:
         said = json.loads(body)
@@ -67,7 +88,7 @@
     target = said.get("target") if isinstance(said, dict) else None
     if not isinstance(target, str) or not target:
         return Answer(400, b'no target in the body; {"target":"ID"} would do\n')
-    return Command(verb, target)
+    return Command(verb, target, said)
 
 
 def carried(command: Command, done: bool) -> Answer:
--- a/dockthread/ops/management.py
+++ b/dockthread/ops/management.py
@@ -34,6 +34,10 @@
 
     def attach(self, target: str) -> bool: ...
 
+    async def fleet(self, command: door.Command) -> door.Answer:
+        """What concerns the fleet; the only call that may take its time, as others have to agree."""
+        ...
+
 
 class _Call:
     """httptools' callbacks for one request."""
@@ -51,10 +55,12 @@
         self.whole = True
 
 
-def answer(host: Host, method: bytes, path: bytes, body: bytes) -> door.Answer:
+async def answer(host: Host, method: bytes, path: bytes, body: bytes) -> door.Answer:
     decided = door.decide(method, path, body)
     if isinstance(decided, door.Answer):
         return decided
+    if decided.verb in door.FLEET:
+        return await host.fleet(decided)
     if decided.verb is door.Verb.VARS:
         return door.Answer(200, host.figures(), b"text/plain; version=0.0.4")
     if decided.verb is door.Verb.READY:
@@ -113,7 +119,7 @@
                         return
                     parser.feed_data(memoryview(buffer)[:got])
                 method = parser.get_method()
-                said = answer(self._host, method, call.url, bytes(call.body))
+                said = await answer(self._host, method, call.url, bytes(call.body))
                 await loop.sock_sendall(sock, door.wording(said, method == b"HEAD"))
         except httptools.HttpParserError:
             with suppress(OSError):
--- a/dockthread/sections.py
+++ b/dockthread/sections.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from dockthread import api
+from dockthread.fleet.options import FleetOptions
 from dockthread.logs.options import LogOptions
 from dockthread.operator_file.reader import MOST_BYTES, Kind, Problem, Read, read
 from dockthread.routes.check import check
@@ -22,6 +23,7 @@
     "graphite": Kind(GraphiteOptions, named=True),
     "collectd": Kind(CollectdOptions, named=True),
     "route": Kind(RouteOptions, named=True),
+    "fleet": Kind(FleetOptions),
 }
 VARIABLE = "DOCKTHREAD_CONFIG"
 
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -28,8 +28,10 @@
 
 if TYPE_CHECKING:
     from dockthread.operator_file.reader import Read
+    from dockthread.ops import door
     from dockthread.routes.table import Table
     from dockthread.telemetry.exporter import Exporter
+    from dockthread.work.host import Work
 
 OK, CANNOT_LISTEN, BAD_CONFIGURATION = 0, 1, 2  # exit codes
 HELD_FILE = "dockthread-held.json"  # in $TMPDIR: the backends left out by hand, for the next process
@@ -55,6 +57,9 @@
 
             self.ingress.observe(Tracer())
         self._exporter: Exporter | None = None
+        self._no_part = ""
+        self._work: Work | None = None  # its part in a fleet, where the operator's file has one
+        self._fleet = read.named("fleet")[""] if read is not None else None
         self._routes: Table | None = None
         self._applied: dict[str, object] = {}
         self._reloading: asyncio.Task[None] | None = None
@@ -105,6 +110,13 @@
         logger.info("backend {} {} by hand", target, "detached" if held else "attached")
         return True
 
+    async def fleet(self, command: door.Command) -> door.Answer:
+        from dockthread.ops import door
+
+        if self._work is None:
+            return door.Answer(*((503, f"{self._no_part}\n".encode()) if self._no_part else (404, b"no such call\n")))
+        return await self._work.answer(command)
+
     def _apply(self, read: Read) -> None:
         """Raises SettingsError, and then nothing has changed."""
         self._apply_telemetry(read)
@@ -132,17 +144,31 @@
         gc.collect()
         gc.freeze()  # what stands now stands for good: no collection need look at it again
         gc.set_threshold(20_000)  # requests leave no cycles behind, so the rest need be looked at seldom
-        door = None
+        opened = None
         if self.ingress.config.management is not None:
             from dockthread.ops.management import Door
 
-            door = Door(self, self.ingress.config.management)
-            door.open()
+            opened = Door(self, self.ingress.config.management)
+            opened.open()
+        if self._fleet is not None and self._fleet.listen:
+            from dockthread.fleet.store import Lost
+            from dockthread.work.host import Work
+
+            try:
+                self._work = Work(self.ingress, self._fleet)
+                await self._work.member.open()
+            except Lost as error:  # requests are served all the same
+                self._no_part = f"no part in the fleet: {error}"
+                logger.error("{}", self._no_part)
+            except ValueError as error:
+                raise SettingsError(str(error)) from error
         try:
             await self.ingress.run()
         finally:
-            if door is not None:
-                door.close()
+            if self._work is not None:
+                await self._work.member.close()
+            if opened is not None:
+                opened.close()
             if self._exporter is not None:
                 await self._exporter.farewell()
 
@@ -162,7 +188,10 @@
                 if self._file is not None:
                     from dockthread.sections import load
 
-                    self._apply(await asyncio.to_thread(load, self._file, config.module, config.names))
+                    read = await asyncio.to_thread(load, self._file, config.module, config.names)
+                    self._apply(read)
+                    if read.named("fleet")[""] != self._fleet:
+                        logger.warning("[fleet] has changed: it holds from the next start on")
             except SettingsError as error:
                 self.rejected += 1
                 logger.warning("the old configuration stays: {}", error)
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,157 @@
+"""Several processes of the program as one fleet, with faults between them: never more out than may be."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from dockthread.lab.fleet.rig import Rig
+from tests.loopback import SETTINGS, target
+
+TARGETS = [target(f"s-{i}", 6000 + i) for i in range(4)]  # all of hall-a
+ALL_OUT = 40.0  # s: a generous bound on any progress
+
+
+async def until(what: Callable[[], Awaitable[Any]], most: float = ALL_OUT) -> Any:
+    async with asyncio.timeout(most):
+        while not (found := await what()):
+            await asyncio.sleep(0.05)
+    return found
+
+
+def fleet(folder: Path, scenario: Callable[[Rig], Awaitable[None]]) -> None:
+    """Runs it on three processes. All the while no member may hold more than one for granted, nor two members hold
+    unlike ones at the same place of the log."""
+
+    async def bounded() -> None:
+        rig = Rig(folder, 3, SETTINGS, TARGETS)
+        await rig.open()
+        watching = asyncio.create_task(watch(rig))
+        try:
+            await until(rig.leader)
+            await asyncio.wait_for(scenario(rig), 100)
+            assert not watching.done(), watching.exception()
+        finally:
+            watching.cancel()
+            await rig.close()
+
+    asyncio.run(bounded())
+
+
+async def watch(rig: Rig) -> None:
+    while True:
+        for name in list(rig.processes):
+            out = await rig.granted(name)
+            assert out is None or len(out) <= 1, f"{name} holds {out} for granted"
+        await asyncio.sleep(0.02)
+
+
+async def ask(rig: Rig, name: str, uid: str, do: str = "ask") -> tuple[int, Any]:
+    return await rig.call(name, "POST", f"/_work/{do}", {"target": uid, "why": "test"})
+
+
+async def settled(rig: Rig, uid: str, names: list[str]) -> bool:
+    return all([await rig.granted(name) == {uid} for name in names])
+
+
+def test_two_asked_for_at_the_same_moment_go_one_after_the_other(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        said = await asyncio.gather(ask(rig, "n0", "s-0"), ask(rig, "n1", "s-1"))
+        assert {status for status, _ in said} == {200}
+        states = {answer["target"]: answer["state"] for _, answer in said}
+        assert sorted(states.values()) == ["granted", "waiting"]
+        first = next(uid for uid, state in states.items() if state == "granted")
+        second = next(uid for uid, state in states.items() if state == "waiting")
+        waits = next(answer for _, answer in said if answer["target"] == second)
+        assert waits["reason"] == f"{first} of hall-a is out, and 1 may be"
+        await until(lambda: settled(rig, first, rig.names))
+        assert (await ask(rig, "n2", first, "done"))[0] == 200
+        await until(lambda: settled(rig, second, rig.names))
+        assert (await ask(rig, "n0", "no-such"))[0] == 404
+
+    fleet(tmp_path, scenario)
+
+
+async def both_know(rig: Rig) -> bool:
+    said = [await rig.call(name, "GET", "/_fleet") for name in rig.names]
+    return all(status == 200 and one["leader"] for status, one in said)
+
+
+def test_what_was_granted_outlives_its_leader_and_all_of_them(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        leader = await rig.leader()
+        assert (await ask(rig, leader, "s-0"))[1]["state"] == "granted"
+        rig.kill(leader)  # right after its yes
+        rest = [name for name in rig.names if name != leader]
+        await until(lambda: rig.leader(rest))
+        await until(lambda: settled(rig, "s-0", rest))
+        for name in rest:
+            rig.kill(name)
+        for name in rig.names:
+            rig.start(name)
+        await until(lambda: settled(rig, "s-0", rig.names))
+
+    fleet(tmp_path, scenario)
+
+
+def test_a_minority_grants_nothing_and_comes_back_to_what_was_agreed(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        leader = await rig.leader()
+        rest = [name for name in rig.names if name != leader]
+        rig.cut({leader})
+        status, _ = await ask(rig, leader, "s-0")
+        assert status == 503, "cut off, it cannot have a majority"
+        other = await until(lambda: rig.leader(rest))
+        assert (await ask(rig, other, "s-1"))[1]["state"] == "granted"
+        await until(lambda: settled(rig, "s-1", rest))
+        assert await rig.granted(leader) == set()
+        rig.heal()
+        await until(lambda: settled(rig, "s-1", rig.names))
+
+    fleet(tmp_path, scenario)
+
+
+def test_a_leader_held_still_grants_nothing_when_it_goes_on(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        leader = await rig.leader()
+        rest = [name for name in rig.names if name != leader]
+        rig.signal(leader, signal.SIGSTOP)
+        asked = asyncio.create_task(ask(rig, leader, "s-0"))  # read once it goes on, by one that led in its time
+        other = await until(lambda: rig.leader(rest))
+        assert (await ask(rig, other, "s-1"))[1]["state"] == "granted"
+        rig.signal(leader, signal.SIGCONT)
+        await asked
+        await until(lambda: settled(rig, "s-1", rig.names))
+
+    fleet(tmp_path, scenario)
+
+
+async def refused(rig: Rig, name: str) -> str:
+    status, said = await rig.call(name, "GET", "/_fleet")
+    return str(said) if status == 503 else ""
+
+
+def test_a_log_that_was_spoilt_is_not_believed(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        leader = await rig.leader()
+        victim = next(name for name in rig.names if name != leader)
+        rig.kill(victim)
+        path = rig.folder / victim / "log" / "log"
+        data = bytearray(path.read_bytes())
+        data[24] ^= 0xFF
+        path.write_bytes(data)
+        rig.start(victim)
+        said = await until(lambda: refused(rig, victim))
+        assert "is spoilt at byte 0" in said
+        assert (await rig.call(victim, "GET", "/_ready"))[0] == 200, "requests are served all the same"
+        assert (await ask(rig, await until(rig.leader), "s-0"))[1]["state"] == "granted"
+
+    fleet(tmp_path, scenario)
