--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -98,6 +98,8 @@
         self.name, self._options, self._clock = name, options, clock
         self._apply, self._restore, self._state = apply, restore, state
         self._addresses, self._key = options.addresses(), options.key()
+        if name not in self._addresses:
+            raise ValueError(f"[fleet] members: {name}, this ingress, is not among {', '.join(self._addresses)}")
         self._rng = random.Random(seed)
         self.store = Store(Path(options.directory), name)
         if self.store.name != name:
--- a/dockthread/lab/fleet/rig.py
+++ b/dockthread/lab/fleet/rig.py
@@ -54,8 +54,8 @@
         for link in self.links.values():
             link.close()
 
-    def start(self, name: str) -> None:
-        """With whatever its directory holds from before."""
+    def start(self, name: str, file: str = "") -> None:
+        """With whatever its directory holds from before. `file`: the operator's, in place of the rig's own."""
         home = self.folder / name
         if not (home / "log").exists():
             Store(home / "log", name, make=True).close()
@@ -64,7 +64,8 @@
         at[name] = str(self.listen[name])
         members = ", ".join(f"{other}={at[other]}" for other in self.names)
         (home / "dockthread.ini").write_text(
-            f"[fleet]\nlisten = {self.listen[name]}\nmembers = {members}\ndirectory = {home / 'log'}\n"
+            file
+            or f"[fleet]\nlisten = {self.listen[name]}\nmembers = {members}\ndirectory = {home / 'log'}\n"
             f"most_out = {self._most_out}\n"
         )
         known = {"rev": 1, "all": True, "targets": self._targets}
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -138,6 +138,17 @@
     return str(said) if status == 503 else ""
 
 
+def test_an_ingress_that_is_no_member_says_so_and_does_not_start(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        rig.kill("n2")
+        ini = rig.folder / "n2" / "dockthread.ini"
+        rig.start("n2", f"{ini.read_text()}".replace("n2=", "n9="))
+        assert await asyncio.to_thread(rig.processes["n2"].wait, 30) == 2
+        assert b"members: n2, this ingress, is not among" in (rig.folder / "n2" / "out").read_bytes()
+
+    fleet(tmp_path, scenario)
+
+
 def test_a_log_that_was_spoilt_is_not_believed(tmp_path: Path) -> None:
     async def scenario(rig: Rig) -> None:
         await until(lambda: both_know(rig))
