--- a/dockthread/work/host.py
+++ b/dockthread/work/host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import secrets
 from typing import TYPE_CHECKING, Any
@@ -27,6 +28,7 @@
     def __init__(self, ingress: Ingress, options: FleetOptions) -> None:
         self._ingress, self._options, self.order = ingress, options, order.Order()
         self._held = set[str]()  # by an order of work, not by hand
+        self._changed = False
         self.member = Member(
             ingress.config.name,
             options,
@@ -39,14 +41,21 @@
 
     def _apply(self, index: int, data: bytes) -> None:
         self.order.apply(index, data)
-        self._carry_out()
+        self._soon()
 
     def _restore(self, index: int, state: bytes) -> None:
         self.order.restore(state)
-        self._carry_out()
+        self._soon()
+
+    def _soon(self) -> None:
+        """Once for all entries that come at a time: what was out and came back long before a start must not be taken
+        for a machine that has just come back cold."""
+        if not self._changed:
+            self._changed = True
+            asyncio.get_running_loop().call_soon(self._carry_out)
 
     def _carry_out(self) -> None:
-        granted = self.order.granted()
+        self._changed, granted = False, self.order.granted()
         for target in sorted(granted - self._held):
             if not self._ingress.hold(target, True):  # not listed here yet: drained as soon as it is
                 self._ingress.destinations.held.add(target)
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -16,6 +18,7 @@
 from dockthread.fleet.store import Lost, Store
 from dockthread.fleet.wire import COMMAND, Entry
 from dockthread.sections import read_text
+from dockthread.work.host import Work
 from dockthread.work.order import Command, Order
 
 
@@ -83,6 +86,30 @@
         granted = {r.target: r.hall for r in order.requests.values() if r.state == "granted"}
 
 
+def test_work_that_was_over_before_a_start_leaves_no_machine_cold() -> None:
+    """All entries of a log come at a time then; only what is out at their end is drained."""
+
+    async def scenario() -> None:
+        told: list[tuple[str, bool]] = []
+        one = Work.__new__(Work)
+        one.order, one._held, one._changed = Order(), set(), False
+
+        def hold(uid: str, held: bool) -> bool:
+            told.append((uid, held))
+            return True
+
+        one._ingress = SimpleNamespace(hold=hold)  # type: ignore[assignment]
+        for index, data in enumerate([said("ask", "x"), said("done", "x"), said("ask", "y")], 1):
+            one._apply(index, data)
+        await asyncio.sleep(0)
+        assert told == [("y", True)]
+        one._apply(4, said("done", "y"))
+        await asyncio.sleep(0)
+        assert told == [("y", True), ("y", False)]
+
+    asyncio.run(scenario())
+
+
 def entries(*texts: str) -> tuple[Entry, ...]:
     return tuple(Entry(1, COMMAND, text.encode()) for text in texts)
 
