Say the three calls of `dockthread work` once, and test a night of work by the commands

Need: ask, done and withdraw each held the same two lines, and no test drove the commands against real ingresses.

Behaviour is as it was.

--- a/dockthread/cli/work.py
+++ b/dockthread/cli/work.py
@@ -53,6 +53,12 @@
     return f"{request['target']}  {request['state']}{reason}{why}"
 
 
+def said(do: str, body: dict[str, Any], at: tuple[str, int], as_json: bool) -> None:
+    """Have the fleet agree on it, and show what came of it."""
+    answer = call(at, "POST", f"/_work/{do}", body)
+    click.echo(json.dumps(answer) if as_json else told(answer))
+
+
 @click.group()
 def work() -> None:
     """The order of work: which machine is taken out when, settled among the ingresses."""
@@ -66,8 +72,7 @@
 @json_option
 def ask(target: str, why: str, urgency: int, at: tuple[str, int], as_json: bool) -> None:
     """Ask for a machine's turn. Asked twice it is one request."""
-    said = call(at, "POST", "/_work/ask", {"target": target, "why": why, "urgency": urgency})
-    click.echo(json.dumps(said) if as_json else told(said))
+    said("ask", {"target": target, "why": why, "urgency": urgency}, at, as_json)
 
 
 @work.command()
@@ -76,8 +81,7 @@
 @json_option
 def done(target: str, at: tuple[str, int], as_json: bool) -> None:
     """The work is done: the machine comes back, cold."""
-    said = call(at, "POST", "/_work/done", {"target": target})
-    click.echo(json.dumps(said) if as_json else told(said))
+    said("done", {"target": target}, at, as_json)
 
 
 @work.command()
@@ -86,8 +90,7 @@
 @json_option
 def withdraw(target: str, at: tuple[str, int], as_json: bool) -> None:
     """Take a request back; a machine that is out comes back."""
-    said = call(at, "POST", "/_work/withdraw", {"target": target})
-    click.echo(json.dumps(said) if as_json else told(said))
+    said("withdraw", {"target": target}, at, as_json)
 
 
 @work.command("list")
@@ -95,11 +98,11 @@
 @json_option
 def list_(at: tuple[str, int], as_json: bool) -> None:
     """What is asked for, granted, and lately over."""
-    said = call(at, "GET", "/_work")
+    listed = call(at, "GET", "/_work")
     if as_json:
-        click.echo(json.dumps(said))
+        click.echo(json.dumps(listed))
         return
-    for request in [*said["work"], *said["over"]]:
+    for request in [*listed["work"], *listed["over"]]:
         click.echo(told(request))
 
 
@@ -128,10 +131,10 @@
 @json_option
 def status(at: tuple[str, int], as_json: bool) -> None:
     """What one member knows: its role, the term, who leads, the voters, how far the log is."""
-    said = call(at, "GET", "/_fleet")
+    state = call(at, "GET", "/_fleet")
     if as_json:
-        click.echo(json.dumps(said))
+        click.echo(json.dumps(state))
         return
-    click.echo(f"{said['name']} is {said['role']} in term {said['term']}, led by {said['leader'] or 'nobody'}")
-    click.echo(f"voters: {', '.join(said['voters'])}")
-    click.echo(f"log: {said['last']} entries, {said['commit']} agreed, {said['applied']} applied")
+    click.echo(f"{state['name']} is {state['role']} in term {state['term']}, led by {state['leader'] or 'nobody'}")
+    click.echo(f"voters: {', '.join(state['voters'])}")
+    click.echo(f"log: {state['last']} entries, {state['commit']} agreed, {state['applied']} applied")
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import signal
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -216,6 +218,23 @@
     fleet(tmp_path, scenario)
 
 
+def test_staff_go_through_a_night_of_work_by_the_commands(tmp_path: Path) -> None:
+    async def scenario(rig: Rig) -> None:
+        await until(lambda: both_know(rig))
+        for words, said in (
+            ("work ask s-0 --why fan", "s-0  granted"),
+            ("work ask s-1", "s-1  waiting: s-0 of hall-a is out, and 1 may be"),
+            ("work list", "s-0  granted (fan)\ns-1  waiting: s-0 of hall-a is out, and 1 may be"),
+            ("work done s-0", "s-0  done"),
+            ("work withdraw s-1", "s-1  withdrawn"),
+        ):
+            command = [sys.executable, "-m", "dockthread", *words.split(), "--at", str(rig.door["n1"])]
+            done = await asyncio.to_thread(subprocess.run, command, capture_output=True, text=True, timeout=30)
+            assert (done.returncode, done.stdout.strip()) == (0, said), done.stderr
+
+    fleet(tmp_path, scenario)
+
+
 def test_a_log_that_was_spoilt_is_not_believed(tmp_path: Path) -> None:
     async def scenario(rig: Rig) -> None:
         await until(lambda: both_know(rig))
