Carry out a write in one place: the disk, its simulation and the log's voters say it once

Seen in reading the change again: how a `Keep` or a `KeepState` alters what is stored stood in the store, in the simulated disk, and, for the voters, a second time beside `Log.voters_at`; the simulation's end asked for the voters once a member.

Change: `Stored.keep` and `Stored.keep_state` serve both disks, `Log` tells the voters of a member that is down. Behaviour is as it was.

--- a/dockthread/fleet/actions.py
+++ b/dockthread/fleet/actions.py
@@ -35,6 +35,14 @@
     state: bytes = b""
     entries: list[Entry] = field(default_factory=list)
 
+    def keep(self, what: Keep) -> None:
+        self.term, self.vote = what.term, what.vote
+        self.entries[what.start - self.base - 1 :] = what.entries
+
+    def keep_state(self, what: KeepState) -> None:
+        self.entries = [] if what.whole else self.entries[what.base - self.base :]
+        self.base, self.base_term, self.base_voters, self.state = what.base, what.base_term, what.voters, what.state
+
 
 @dataclass(frozen=True, slots=True)
 class Keep:
--- a/dockthread/fleet/store.py
+++ b/dockthread/fleet/store.py
@@ -110,18 +110,15 @@
         if isinstance(what, Keep):
             record = Written(self._whole.number, what.term, what.vote, what.start, what.entries)
             self._append(record)
-            self._take(record)
+            stored.keep(what)
             return
-        entries = [] if what.whole else stored.entries[what.base - stored.base :]
-        self.stored = Stored(
-            stored.term, stored.vote, what.base, what.base_term, what.voters, what.state, entries
-        )
+        stored.keep_state(what)
         number = self._whole.number + 1
         self._whole = Whole(
             number, self.name, stored.term, stored.vote, what.base, what.base_term, what.voters, what.state
         )
         # First the entries behind it, under its number, which the old state takes for void; then the state itself.
-        record = Written(number, stored.term, stored.vote, what.base + 1, tuple(entries))
+        record = Written(number, stored.term, stored.vote, what.base + 1, tuple(stored.entries))
         self._append(record)
         self._write_whole()
         # Nothing in the log counts any more but that last record: a new log of it alone, or the disk would fill.
@@ -165,14 +162,9 @@
         self.stored = Stored(w.term, w.vote, w.base, w.base_term, w.voters, w.state, [])
         for record in records:
             if record.number == w.number:
-                self._take(record)
+                self.stored.keep(Keep(record.term, record.vote, record.start, record.entries))
         return self.stored
 
-    def _take(self, record: Written) -> None:
-        stored = self.stored
-        stored.term, stored.vote = record.term, record.vote
-        stored.entries[record.start - stored.base - 1 :] = record.entries
-
     def _records(self, name: str) -> tuple[list[bytes], bool]:
         """Bodies, and whether the file ends with a whole one; what is cut short at the end is cut off."""
         path = self._folder / name
--- a/dockthread/lab/fleet/world.py
+++ b/dockthread/lab/fleet/world.py
@@ -28,6 +28,7 @@
     Times,
 )
 from dockthread.fleet.agreement import Agreement
+from dockthread.fleet.log import Log
 from dockthread.fleet.wire import COMMAND, VOTERS, Message, VoteAnswer
 from dockthread.lab.fleet.checker import Broken, Checker
 from dockthread.lab.fleet.plants import CORES
@@ -91,7 +92,8 @@
         self._until(FAULTY + CALM / 2)
         last = self._commands  # from here on all is well: what is proposed now has to come to all
         self._until(FAULTY + CALM)
-        up = {m.name: m.applied for m in self.members.values() if m.core and m.name in self._newest_voters()}
+        voters = self._newest_voters()
+        up = {m.name: m.applied for m in self.members.values() if m.core and m.name in voters}
         done = [c for c in self._proposed if c[0] > last and c[1] <= self.now - CALM / 4]
         self.checker.ended(self.now, done[0][2] if done else b"nothing at all", up)
         return self.checker.broken
@@ -194,16 +196,11 @@
         self.at(self.rng.choice((2.0, 20.0, 2000.0)) * self.rng.random(), self._start, m)
 
     def _sync(self, m: Member, what: Keep | KeepState) -> None:
-        disk = m.disk
         if isinstance(what, Keep):
             self.checker.kept(self.now, m.name, what.term)
-            disk.term, disk.vote = what.term, what.vote
-            if what.entries or what.start <= disk.base + len(disk.entries):
-                disk.entries[what.start - disk.base - 1 :] = what.entries
+            m.disk.keep(what)
         else:
-            disk.entries = [] if what.whole else disk.entries[what.base - disk.base :]
-            disk.base, disk.base_term = what.base, what.base_term
-            disk.base_voters, disk.state = what.voters, what.state
+            m.disk.keep_state(what)
 
     # The network
 
@@ -330,15 +327,12 @@
 
     def _spare(self, name: str) -> bool:
         """Whether every set of voters in any log keeps a majority without this one and has lost none before."""
-        sets = {m.core.voters if m.core else self._kept_voters(m) for m in self.members.values() if not m.gone}
+        logs = [m.core.log if m.core else Log(m.disk, ()) for m in self.members.values() if not m.gone]
+        sets = {log.voters_at(log.last) for log in logs}
         left = {m.name for m in self.members.values() if not m.gone} - {name}
         lost = {m.name for m in self.members.values() if m.gone}
         return all(2 * len(left & set(v)) > len(v) and not lost & set(v) for v in sets if v)
 
-    def _kept_voters(self, m: Member) -> tuple[str, ...]:
-        changes = [e for e in m.disk.entries if e.kind == VOTERS]
-        return tuple(changes[-1].data.decode().split()) if changes else m.disk.base_voters
-
     def _replace(self, old: str, new: str) -> None:
         """Staff ask whoever leads to take the new one in and the old one out, one change at a time."""
         voters = self._newest_voters()
