Judge a jam by what the next request meets, and fit two fifths more reports into a message

At fault: attempts.py, `slow` in `_ended`, which takes each answer for what the next request will meet, though the choice hardly draws an ill node any more.

A report is 12 bytes in place of 16 where no customer id of the message has over 32 bits: 21 to a message in place of 15.

--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -9,7 +9,7 @@
 from dockthread.module.api import Effect, Outcome
 from dockthread.module.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.module.choice import Choice
-from dockthread.module.state import Attempt, Call
+from dockthread.module.state import Attempt, Call, Worker
 
 FAIL_STEP, SLOW_STEP, SMOOTH = 0.25, 0.12, 0.05  # weights of one more in smoothed figures
 LATEST = 1.5  # tight aims: the latest that one answer can tell of the moment
@@ -36,6 +36,7 @@
     def _survey(self) -> None:
         ready = [w for w in self.workers.values() if w.ready]
         self.pool = (ready, list(accumulate(map(self._share, ready))))
+        self.sound = max(0.05, sum(1 - w.failed for w in ready) / max(1, len(ready)))
         self.warm = any(self._warmth(w) >= 1.0 for w in ready)
         for request in list(self.held):
             call = self.calls[request]
@@ -110,9 +111,10 @@
             w.failed -= FAIL_STEP * w.failed
             w.full_for, w.spare, w.spare_at = 0.0, w.spare + 1, self.now
             self.done += 1
-            self.slow += SLOW_STEP * (min(e.took, LATEST * self.tight) - self.slow)
+            step = SLOW_STEP * self._tells(w)
+            self.slow += step * (min(e.took, LATEST * self.tight) - self.slow)
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
-            self.slow += FAIL_STEP * (self.tight - self.slow)
+            self.slow += FAIL_STEP * self._tells(w) * (self.tight - self.slow)
             w.full_for = max(FULL_FOR, min(2 * w.full_for, FULL_MOST))
             w.full_until[c.plan] = self.now + w.full_for
         elif e.outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
@@ -147,6 +149,11 @@
             if not any(a.out for a in call.attempts):
                 self._close(e.request)
 
+    def _tells(self, w: Worker) -> float:
+        """How much a worker's answer says of what the next request meets: one that is worse than the others
+        is hardly drawn, and its late answers must not refuse what the others have room for."""
+        return min(1.0, ((1 - w.failed) / self.sound) ** 2)
+
     def _usually(self) -> float:
         """The usual answer time, of a class as of any other."""
         return sum(usual for usual, _ in self.usual) / len(self.usual)
--- a/dockthread/module/mail.py
+++ b/dockthread/module/mail.py
@@ -92,12 +92,12 @@
         self.mailing, self.mailed = False, self.now
         bad = [w for w in self.codes.values() if w.failed > NOTED]
         suspects = [(w.code, w.failed) for w in self.rng.sample(bad, min(MOST_TOLD, len(bad)))]
-        room = message.room(len(suspects))
         for peer in sorted(self.mail, key=lambda p: not self.mail[p]):
             notes = self.mail[peer]
             if self.stock < 1 or (not notes and self.stock < STOCK * self.intake / 2):
                 break
             keys = list(notes)
+            room = message.room(len(suspects), keys)
             if len(keys) > room:  # those whose quota is nearest to its end
                 keys = sorted(keys, key=lambda key: self.customers[key].store.left(self.now))[:room]
             reports = [self.customers[key].report_of(key, self.now) for key in keys]
--- a/dockthread/module/message.py
+++ b/dockthread/module/message.py
@@ -5,16 +5,16 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 MOST_BYTES = 256  # of a message on the wire
-VERSION = 4
+VERSION = 5
 PARTS = 16  # of a unit
 SUM = 0xFFFF
 SANE = 60_000.0  # the largest figure that two bytes hold as a float
-HEAD, SUSPECT = struct.Struct("<BBB"), struct.Struct("<3sB")
-REPORT = struct.Struct("<QBBHHe")
+HEAD, SUSPECT = struct.Struct("<BBBB"), struct.Struct("<3sB")
+NARROW, WIDE = struct.Struct("<IBBHHe"), struct.Struct("<QBBHHe")  # a report, by the width of its customer's key
 
 
 class Report(NamedTuple):
@@ -48,16 +48,22 @@
     return ((now - then + 0x8000 & SUM) - 0x8000) / PARTS
 
 
-def room(suspects: int) -> int:
-    """Reports that fit."""
-    return (MOST_BYTES - HEAD.size - suspects * SUSPECT.size) // REPORT.size
+def form_of(keys: Iterable[int]) -> struct.Struct:
+    """The narrowest that holds these keys: what is saved is room for reports of more customers."""
+    return NARROW if all(key >> 32 == 0 for key in keys) else WIDE
+
+
+def room(suspects: int, keys: Iterable[int]) -> int:
+    """Reports of these customers that fit."""
+    return (MOST_BYTES - HEAD.size - suspects * SUSPECT.size) // form_of(keys).size
 
 
 def pack(life: int, suspects: Sequence[tuple[bytes, float]], reports: Sequence[Report]) -> bytes:
-    data = HEAD.pack(VERSION, life, len(suspects))
+    form = form_of(r.customer for r in reports)
+    data = HEAD.pack(VERSION, life, len(suspects), form is WIDE)
     data += b"".join(SUSPECT.pack(code, int(255 * failed)) for code, failed in suspects)
     for r in reports:
-        data += REPORT.pack(*r[:2], min(r.out, 255), *r[3:5], max(-SANE, min(r.left, SANE)))
+        data += form.pack(*r[:2], min(r.out, 255), *r[3:5], max(-SANE, min(r.left, SANE)))
     return data
 
 
@@ -65,9 +71,10 @@
     if len(data) < HEAD.size or data[0] != VERSION:
         return None
     reports = HEAD.size + data[2] * SUSPECT.size
-    if len(data) < reports or (len(data) - reports) % REPORT.size:
+    form = WIDE if data[3] else NARROW
+    if len(data) < reports or (len(data) - reports) % form.size:
         return None
-    told = [Report(*fields) for fields in REPORT.iter_unpack(data[reports:])]
+    told = [Report(*fields) for fields in form.iter_unpack(data[reports:])]
     return Message(
         data[1],
         [(code, failed / 255) for code, failed in SUSPECT.iter_unpack(data[HEAD.size : reports])],
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -146,6 +146,7 @@
         self.codes: dict[bytes, Worker] = {}
         self.kept = settings.conn_idle * api.IDLE_PART  # for which a connection may stand idle
         self.pool: tuple[list[Worker], list[float]] = ([], [])  # to draw from, with summed chances
+        self.sound = 1.0
         self.warm = False  # whether there is a warm worker
         self.slow, self.out, self.done = 0.0, 0, 0.0  # answer time of late; attempts out, not late; answers
         self.tidied = now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,13 +86,13 @@
         self.give(api.RequestArrived(self.next, cls, plan, customer, left, units, spread, first))
         return self.next
 
-    def end(self, request: int, attempt: int, outcome: Outcome, true_units: float = 0.0) -> None:
+    def end(self, request: int, attempt: int, outcome: Outcome, true_units: float = 0.0, took: float = 0.1) -> None:
         send = self.sent[request][attempt]
         ok = outcome is Outcome.OK
         if ok:
             self.final.setdefault(request, []).append("served")
         done = bool(self.final.get(request))
-        self.give(api.AttemptEnded(request, attempt, send.worker, outcome, done, 0.1, true_units))
+        self.give(api.AttemptEnded(request, attempt, send.worker, outcome, done, took, true_units))
 
     def run(self, until: float) -> None:
         while due := sorted(t for t in self.timers if t[0] <= until):
@@ -575,13 +575,39 @@
 @pytest.mark.parametrize("bad", [math.inf, -math.inf, math.nan])
 def test_absurd_figures_change_nothing(bad: float) -> None:
     drive = Drive()
-    head = message.HEAD.pack(message.VERSION, 1, 0)
-    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, RATE, 0, 9, 9, bad)))
-    drive.give(api.PeerSaid(1, head + message.REPORT.pack(7, 200, 0, 9, 9, 1.0)))
+    for form in (message.NARROW, message.WIDE):
+        head = message.HEAD.pack(message.VERSION, 1, 0, form is message.WIDE)
+        drive.give(api.PeerSaid(1, head + form.pack(7, RATE, 0, 9, 9, bad)))
+        drive.give(api.PeerSaid(1, head + form.pack(7, 200, 0, 9, 9, 1.0)))
     drive.give(api.PeerSaid(5, report(7, RATE, 9.0, 9.0, 0.0)))
     assert 7 not in drive.gateway.customers
 
 
+@pytest.mark.parametrize(("widest", "most"), [((1 << 32) - 1, 21), (1 << 32, 15)])
+def test_short_customer_ids_leave_room_for_more_reports(widest: int, most: int) -> None:
+    keys = [7, widest]
+    reports = [message.Report(key, RATE, 1, 2, 3, 4.0) for key in keys * 10]
+    assert message.room(0, keys) == most
+    told = message.unpack(data := message.pack(1, [], reports[:most]), 3)
+    assert told is not None and told.reports == reports[:most] and len(data) <= message.MOST_BYTES
+    assert message.unpack(data[:-1], 3) is None
+
+
+@pytest.mark.parametrize("all_ill", [False, True])
+def test_late_answers_of_few_ill_workers_refuse_nothing_that_the_others_have_room_for(all_ill: bool) -> None:
+    drive = Drive()
+    requests = [drive.ask(SAFE) for _ in range(6)]
+    ill = {drive.sent[requests[0]][0].worker}
+    for number, w in drive.gateway.workers.items():
+        w.failed = 0.9 if all_ill or number in ill else 0.0
+    drive.run(drive.now + 0.3)
+    for request in requests:
+        if drive.sent[request][0].worker in ill:
+            drive.end(request, 0, Outcome.OK, took=3.0)
+    refuses = drive.gateway.slow > attempts.PRESSED * drive.gateway.tight
+    assert refuses is all_ill, "where all are ill, it is a jam"
+
+
 def test_largest_customer_id_travels() -> None:
     key = (1 << 64) - 1
     drives = fleet(2)
