Keep an unanswered call on discovery open through the pause that would follow it

Traced with a line at each watch's begin and first list, 200 ingresses and then 60: discovery falls silent at 2.7 s, stood watches are given up at 6.2 s, the new call hangs, is given up after 3.5 s of silence at 9.98 s, and the pause after a failure is up to 125 ms x N, 25 s here. Discovery is back at 10.7 s, and answers at once what still waits there: an ingress whose call stood at 8.98 s had its list at 10.778 s. The others knew nothing of the drains from 10.65 s on until their next call, up to 30 s. At fault: Watch.check in net/destination_set.py, which ends a call that was never answered, and Watch.run, which pauses then.

Change: a call without a first word stays open until the pause after it would be over, and the next begins at its end. No call more is made. A watch that stood and fell silent is left as before.

--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -230,6 +230,7 @@
         self._moved = asyncio.Event()
         self._failures = 0
         self._stood = False  # the present watch has said something
+        self._given_up = 0.0  # when one that has said nothing yet is, once it has been silent for long; 0 before
         self.observer = Observer()
 
     def move(self, address: Address) -> None:
@@ -256,16 +257,26 @@
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
             if self._moved.is_set():
                 continue
+            waited, self._given_up = self._given_up > 0, 0.0
             self._failures += 1
             self.observer.event("watch-end", why=type(failure).__name__, text=str(failure).replace(" ", "_")[:60])
             # One line for each loss of discovery, not one for each try.
             log = logger.warning if self._failures == 1 else logger.debug
             log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
-            await self._pause(self._backoff.soon() if self._stood else self._backoff.again())
+            if not waited:
+                await self._pause(self._backoff.soon() if self._stood else self._backoff.again())
 
     def check(self) -> None:
-        """End a watch that has gone silent: its machine may have vanished, which TCP does not tell."""
-        if self._attempt is not None and self._clock.now() - self._heard > SILENCE:
+        """End a watch that has gone silent: its machine may have vanished, which TCP does not tell. A call
+        that was never answered stays open for the pause that would follow it, and the next one goes at its
+        end: a service that is down or overbooked answers it as soon as it can, and a call that was given up
+        would have been work for nothing."""
+        now = self._clock.now()
+        if self._attempt is None or now - self._heard <= SILENCE:
+            return
+        if not self._stood and not self._given_up:
+            self._given_up = now + self._backoff.again()
+        if now >= self._given_up:
             self._attempt.cancel()
 
     async def _watch(self) -> None:
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -256,6 +256,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_call_that_discovery_has_not_answered_stays_open_through_the_pause_after_it(answered: bool) -> None:
+    """A discovery that was down answers what still waits there; a call given up would wait for its next turn."""
+
+    async def scenario() -> None:
+        clock = ManualClock()
+        async with serving(Backend(), clock=clock) as (ingress, _, discovery):
+            clock.advance(3_600)  # silent for too long, and the pause is up to 500 ms for four ingresses
+            ingress.watch.check()
+            await asyncio.sleep(0.02)
+            assert len(discovery.paths) == 1
+            if answered:
+                discovery.push(message(41, target("s-1", 1)))
+                await until(lambda: ingress.destinations.revision == 41)
+                assert len(discovery.paths) == 1
+            clock.advance(501)
+            ingress.watch.check()
+            await asyncio.sleep(0.02)
+            await until(lambda: len(discovery.paths) == (1 if answered else 2))  # the next goes at once
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(("kind", "sent"), [("status", False), ("checkout", True)])
 def test_a_fault_in_the_module_costs_one_request_a_true_answer(kind: str, sent: bool) -> None:
     async def scenario() -> None:
