Keep an ingress that is ending away until it is back, also where staff withdraw it

At fault: Order._about, which takes a withdrawal of an ingress that is out like any other.

Change: an ingress that is out is ended by its own `back`, or by staff's `done`. Work carries out its own stop once and not each 50 ms; a hand-over before the member takes part does nothing.

--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -259,7 +259,8 @@
 
     def hand_over(self) -> None:
         """Another is to lead, where this one does."""
-        self._do(self._agreement.hand_over(self._clock.now()))
+        if self.opened:
+            self._do(self._agreement.hand_over(self._clock.now()))
 
     def status(self) -> dict[str, Any]:
         core = self._agreement
--- a/dockthread/lab/fleet/seeds.py
+++ b/dockthread/lab/fleet/seeds.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 import multiprocessing
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
 from dockthread.lab.fleet.checker import Broken
-from dockthread.lab.fleet.turns_world import play_turns
-from dockthread.lab.fleet.world import FAULTS, World, play
+from dockthread.lab.fleet.turns_world import TurnsWorld
+from dockthread.lab.fleet.world import FAULTS, World
 
-Play = Callable[[int, int, str, tuple[str, ...] | None], tuple[list[Broken], World]]
 CHUNK = 25  # seeds that a process plays before it tells
 
 
@@ -22,7 +21,7 @@
     about: str
     size: int
     faults: tuple[str, ...] | None = None
-    play: Play = play
+    world: type[World] = World
 
 
 CRASHES, MOVES = ("crash", "crash-all", "torn", "stall"), ("crash", "forget", "voters", "compact")
@@ -33,17 +32,17 @@
     "work-agreement-cuts": Scenario("five voters, cuts both ways and one, loss and delay", 5, FAULTS[:4]),
     "work-agreement-crashes": Scenario("three voters killed at writes and votes", 3, CRASHES),
     "work-agreement-moves": Scenario("voters replaced while members die", 3, MOVES),
-    "work-turns": Scenario("turns of work, a random part of all faults a seed", 3, None, play_turns),
-    "work-turns-five": Scenario("turns of work with five members", 5, None, play_turns),
-    "work-turns-links": Scenario("turns of work over links that lose, delay and double", 3, LINKS, play_turns),
-    "work-turns-crashes": Scenario("turns of work while members die and stall", 3, (*CRASHES, "fail"), play_turns),
+    "work-turns": Scenario("turns of work, a random part of all faults a seed", 3, None, TurnsWorld),
+    "work-turns-five": Scenario("turns of work with five members", 5, None, TurnsWorld),
+    "work-turns-links": Scenario("turns of work over links that lose, delay and double", 3, LINKS, TurnsWorld),
+    "work-turns-crashes": Scenario("turns of work while members die and stall", 3, (*CRASHES, "fail"), TurnsWorld),
 }
 
 
 def story(scenario: Scenario, seed: int, plant: str = "") -> tuple[list[Broken], list[str]]:
     """One seed: what broke, and its record, the same each time."""
-    broken, world = scenario.play(seed, scenario.size, plant, scenario.faults)
-    return broken, [f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record]
+    world = scenario.world(seed, scenario.size, plant, scenario.faults)
+    return world.play(), [f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record]
 
 
 def _some(name: str, seeds: range, plant: str) -> list[tuple[int, Broken]]:
--- a/dockthread/lab/fleet/turns_world.py
+++ b/dockthread/lab/fleet/turns_world.py
@@ -286,15 +286,3 @@
     def _press(self) -> None:
         self.pressed = True
         self.at(self.rng.uniform(100, 1500), setattr, self, "pressed", False)
-
-
-def play_turns(
-    seed: int, size: int = 3, plant: str = "", faults: tuple[str, ...] | None = None
-) -> tuple[list[Broken], World]:
-    """One seed's story, to its end or to the first rule that broke."""
-    world = TurnsWorld(seed, size, plant, faults)
-    try:
-        return world.run(), world
-    except (IndexError, ValueError, KeyError, AssertionError) as error:
-        world.checker.broken.append(Broken("crash", world.now, f"the core ends with {error!r}"))
-        return world.checker.broken, world
--- a/dockthread/lab/fleet/world.py
+++ b/dockthread/lab/fleet/world.py
@@ -82,6 +82,14 @@
         self._count += 1
         heappush(self._due, (self.now + after, self._count, then, args))
 
+    def play(self) -> list[Broken]:
+        """The seed's story, to its end or to the first rule that broke."""
+        try:
+            return self.run()
+        except (IndexError, ValueError, KeyError, AssertionError) as error:
+            self.checker.broken.append(Broken("crash", self.now, f"the core ends with {error!r}"))
+            return self.checker.broken
+
     def run(self) -> list[Broken]:
         for name in self.voters:
             self._start(self.members[name])
@@ -386,15 +394,3 @@
             if m.stalled:
                 self._go_on(m, m.life)
             self._start(m)
-
-
-def play(
-    seed: int, size: int = 3, plant: str = "", faults: tuple[str, ...] | None = None
-) -> tuple[list[Broken], World]:
-    """One seed's story, to its end or to the first rule that broke."""
-    world = World(seed, size, plant, faults)
-    try:
-        return world.run(), world
-    except (IndexError, ValueError, KeyError, AssertionError) as error:
-        world.checker.broken.append(Broken("crash", world.now, f"the core ends with {error!r}"))
-        return world.checker.broken, world
--- a/dockthread/work/host.py
+++ b/dockthread/work/host.py
@@ -40,7 +40,7 @@
         now = ingress.clock.now()
         self.part = Part(ingress.config.name, secrets.token_hex(8), terms, now)
         self.member = Member(ingress.config.name, options, ingress.clock, secrets.randbits(32), self)
-        self._some = asyncio.Event()
+        self._some, self._stopping = asyncio.Event(), False
         self._tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -132,7 +132,8 @@
             self.member.propose_here(msgspec.msgpack.encode(acts.tick))
         if acts.hand_over:
             self.member.hand_over()
-        if acts.stop:
+        if acts.stop and not self._stopping:
+            self._stopping = True  # once: the order says so until the next life
             logger.info("work: the turn of this ingress has come: it ends gently")
             self._stop()
 
--- a/dockthread/work/order.py
+++ b/dockthread/work/order.py
@@ -95,6 +95,8 @@
             r.freed = tuple(sorted({*r.freed, c.by}))
         elif c.do == "withdraw" and r.state == "waiting":
             self._end(r, "withdrawn")
+        elif c.do == "withdraw" and r.kind == INGRESS and r.state in HELD[2:]:
+            return  # too late: it is ending, and counts as away until it says that it is back
         elif c.do in ("done", "withdraw") and r.state in HELD or c.do == "back" and current and r.state in HELD[2:]:
             r.state, r.ends, r.freed = "returning", LEAVE[c.do], ()
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -164,6 +164,7 @@
     epoch = told.order.requests["n1"].epoch
     assert told.do("held", "n1", by="n1", epoch=epoch, life="a") == "out" and not told.order.held()
     assert told.do("back", "n1", by="n1", epoch=epoch - 1) == "out"
+    assert told.do("withdraw", "n1") == "out", "it is ending: the next may not go before it is back"
     assert told.do("back", "n1", by="n1", epoch=epoch) == "warming"
     told.tick()
     assert (told.state("n1"), told.state("n2")) == ("done", "granted")
