--- a/dockthread/lab/fleet/rig.py
+++ b/dockthread/lab/fleet/rig.py
@@ -24,10 +24,14 @@
 HOST = "127.0.0.1"
 
 
-def free_port() -> int:
-    with socket.socket() as one:
-        one.bind((HOST, 0))
-        return int(one.getsockname()[1])
+def reserved() -> socket.socket:
+    """A port that the system gives to nobody else while this is held, and that a process started here may
+    listen at: a port that was only found free was now and then taken by an outgoing connection before the
+    process came up."""
+    one = socket.socket()
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    one.bind((HOST, 0))
+    return one
 
 
 class Rig:
@@ -40,12 +44,17 @@
     ) -> None:
         self.folder, self.names = folder, [f"n{i}" for i in range(size)]
         self._settings, self._targets, self._most_out, self._more = settings, targets, most_out, more
-        self.listen = {name: Address(HOST, free_port()) for name in self.names}
-        self.client = {name: Address(HOST, free_port()) for name in self.names}
-        self.door = {name: Address(HOST, free_port()) for name in self.names}
+        self._reserved: list[socket.socket] = []
+        self.listen = {name: self._address() for name in self.names}
+        self.client = {name: self._address() for name in self.names}
+        self.door = {name: self._address() for name in self.names}
         self.links = {(a, b): Relay(self.listen[b]) for a in self.names for b in self.names if a != b}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
+    def _address(self) -> Address:
+        self._reserved.append(reserved())
+        return Address(*self._reserved[-1].getsockname()[:2])
+
     async def open(self) -> None:
         for link in self.links.values():
             await link.open()
@@ -57,6 +66,8 @@
             self.kill(name)
         for link in self.links.values():
             link.close()
+        for one in self._reserved:
+            one.close()
 
     def start(self, name: str, file: str = "") -> None:
         """With whatever its directory holds from before. `file`: the operator's, in place of the rig's own."""
