Take two fields that nothing reads out of the rehearsal

Seen in the last reading: Rehearsal counted what staff had open and kept each word by its target, and neither was read by anything, as each of staff's tasks knows its own word. Change: both are gone.

--- a/dockthread/lab/fleet/rehearsal.py
+++ b/dockthread/lab/fleet/rehearsal.py
@@ -62,10 +62,8 @@
         self._nodes = {f"m{i}": Node(f"m{i}", halls[i % s.halls]) for i in range(s.machines)}
         self._folder, self._halls = folder, halls
         self._rig: Rig
-        self._open = 0  # what staff asked for and is not over
         self._hurt: set[str] = set()  # ingresses that were killed or held still
         self._turned: set[str] = set()  # ingresses that went in their turn
-        self._asked: dict[str, str] = {}  # by target: staff's word on it
         self._down: set[str] = set()  # killed by the scenario, until it starts them
         self._away: set[str] = set()  # ended in their own turns
 
@@ -208,9 +206,8 @@
 
     async def _staff(self, target: str) -> None:
         """From the wish to its end."""
-        word = self._asked[target] = f"{target}/{len(self._verdict.story)}"
+        word = f"{target}/{len(self._verdict.story)}"
         asked, pulled = -1e18, False
-        self._open += 1
         while (known := await self._known(word)) is None or known["state"] not in ("done", "withdrawn", "abandoned"):
             if known is None and time.monotonic() - asked > AGAIN:
                 asked = time.monotonic()
@@ -222,7 +219,6 @@
                 asked = time.monotonic()
                 await self._call("done", target, word)
             await asyncio.sleep(LOOK)
-        self._open -= 1
         self._say(f"{target} is {known['state']}")
 
     async def _work_at(self, target: str, held: list[str]) -> None:
