Move the watch on discovery into a module of its own

Need: destination_set.py held the list and the watch on it, 303 lines, and both are about to change for the stricter acceptance. Change: Watch and WatchParser stand in net/watch.py; no line of them differs.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -17,7 +17,7 @@
 from dockthread.net import resp
 from dockthread.net.counter import Counter
 from dockthread.net.decider import Decider
-from dockthread.net.destination_set import DestinationSet, Watch
+from dockthread.net.destination_set import DestinationSet
 from dockthread.net.doorway import Budget, Doorway
 from dockthread.net.inbound import Inbound, Slot
 from dockthread.net.lifecycle import Lifecycle, Phase
@@ -26,6 +26,7 @@
 from dockthread.net.pulse import PERIOD, Pulse
 from dockthread.net.request import Request, Routes
 from dockthread.net.timers import Timers
+from dockthread.net.watch import Watch
 from dockthread.observer import FAILED, REFUSED, SERVED, Observer, Traffic
 from dockthread.ops import retune
 from dockthread.settings import Config
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -12,7 +12,8 @@
 from dockthread import api
 from dockthread.clock import ManualClock
 from dockthread.net import resp
-from dockthread.net.destination_set import DestinationSet, WatchError, WatchParser
+from dockthread.net.destination_set import DestinationSet, WatchError
+from dockthread.net.watch import WatchParser
 from dockthread.settings import Address, Names, SettingsError, read_config
 from tests.loopback import FIRST_ID, KEY, SETTINGS, config, message, raw_config, target
 
