Read lists however laid out, call a silent agent again in time, heed no older list

Seen in the code and confirmed by tests that fail on the tree before: WatchParser.on_body read one object a line, so an indented list ended every watch on its first line (WatchError), and no drain was ever told; Watch.run paused up to half a grace at a start while the module sent by the configuration's old list; Backoff.again drew from 25 s, then 50 s, with 200 ingresses after a call that the agent ended, and Watch.check left an unanswered one open as long; DestinationSet.apply took a list of an older revision as news, which brought back what was announced as leaving, and a destination left out by a whole list kept its old state for hold(). Asked-for lists keep their pauses by the size of the fleet.

--- a/dockthread/module/backoff.py
+++ b/dockthread/module/backoff.py
@@ -8,12 +8,14 @@
 then on, the sum over it is about 1 / PART new calls a second, then half, then a quarter of it. A start and the loss
 of a watch that stood cannot wait that long: what the agent has meanwhile counts as told, and a node that drains may
 be sent to for only so long after it. They draw from `hurry`, and those that the service turns away then are spread
-over the long pauses.
+over the long pauses. Where each ingress asks an agent of its own, nobody waits for the others: there no pause is
+longer than `longest`.
 """
 
 from __future__ import annotations
 
 import random
+from math import inf
 
 PART = 125.0  # ms of the first end for each ingress: eight calls a second over the fleet, then four, then two
 MOST = 4.0  # ends at the most, in first ends
@@ -23,8 +25,8 @@
 class Backoff:
     """Pauses in milliseconds of one ingress among `fleet`. `rng`: of its own seed, so that no two draw alike."""
 
-    def __init__(self, rng: random.Random, fleet: int, hurry: float = 500.0) -> None:
-        self._rng = rng
+    def __init__(self, rng: random.Random, fleet: int, hurry: float = 500.0, longest: float = inf) -> None:
+        self._rng, self._longest = rng, longest
         self.first = PART * max(1, fleet)
         self._hurry = min(hurry, self.first / 2)
         self._failures = 0
@@ -35,7 +37,7 @@
 
     def again(self) -> float:
         """After one more call in a row that failed."""
-        end = self.first * min(MOST, 2.0**self._failures)
+        end = min(self._longest, self.first * min(MOST, 2.0**self._failures))
         self._failures = min(self._failures + 1, 30)
         return max(LEAST, self._rng.uniform(0.0, end))
 
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -31,6 +31,7 @@
     state: api.WorkerState
     started: float  # milliseconds on the ingress's clock, 0 for long ago
     gone: float = inf  # since when
+    revision: int = 0  # of the list that told of it last
     told: api.WorkerEntry | None = None  # what the module was last told of it, as discovery listed it
 
     @property
@@ -43,6 +44,9 @@
 
     A uid keeps its number: a backend that restarts, even at another endpoint, is the same worker. No number
     is given twice.
+
+    A list older than what was told of a backend before (discovery has moved to a service that lags, or counts anew)
+    may take it out, and brings it back only as a process that started later: what was announced as leaving stays so.
     """
 
     def __init__(self, names: Names, clock: Clock) -> None:
@@ -117,13 +121,15 @@
             read = [self._read(target) for target in message["targets"]]
         except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
             raise WatchError(f"not a list of destinations: {error!r}") from error
-        entries = tuple(self._take(*one) for one in read)
+        entries = tuple(self._take(*one, revision) for one in read)
         self.revision = revision
         if full:
             listed = {entry.worker for entry in entries}
             for destination in self.by_worker.values():
                 if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
                     destination.state, destination.gone = api.WorkerState.GONE, self._clock.now()
+                    if destination.told is not None:
+                        destination.told = replace(destination.told, state=api.WorkerState.GONE)
                     self.moved(destination)
         kind = api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.WorkersListed(api.ListKind.CACHED if cached else kind, entries)
@@ -145,17 +151,27 @@
             raise ValueError("a figure is not finite")
         return uid, Address.parse(target["endpoint"]), entry
 
-    def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry) -> api.WorkerEntry:
+    def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry, revision: int) -> api.WorkerEntry:
         known = self._by_uid.get(uid)
         if known is None:
             worker = self._numbers = self._numbers + 1
             known = Destination(worker, uid, endpoint, read.state, read.started * 1000.0)
             self._by_uid[uid] = self.by_worker[worker] = known
+        elif (
+            revision < known.revision
+            and read.state is api.WorkerState.READY
+            and read.started * 1000.0 <= known.started
+            and known.told is not None
+        ):
+            return self._masked(known.told, uid)
         else:
+            later = read.started * 1000.0 > known.started
+            revision = revision if later else max(revision, known.revision)
             before = (known.endpoint, known.active, known.started)
             known.endpoint, known.state, known.started = endpoint, read.state, read.started * 1000.0
             if before != (known.endpoint, known.active, known.started):
                 self.moved(known)
+        known.revision = revision
         gone = known.state is api.WorkerState.GONE
         known.gone = min(known.gone, self._clock.now()) if gone else inf
         known.told = api.WorkerEntry(
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import resource
 from dataclasses import replace
-from typing import Any
 
 from loguru import logger
 
 from dockthread import api
 from dockthread.clock import Clock
-from dockthread.module.backoff import Backoff
 from dockthread.module.rules import Gateway
 from dockthread.net import resp
 from dockthread.net.counter import Counter
@@ -82,9 +79,7 @@
         )
         self.destinations.moved = self.outbound.forget
         self.doorway = Doorway(self, self.budget, self.outbound)
-        hurry = config.module.safety.drain_grace * 1000.0 / 2
-        backoff = Backoff(random.Random(config.seed), config.module.gateways, hurry)
-        self.watch = Watch(config.discovery, self.destinations, clock, self._listed, backoff)
+        self.watch = Watch(config.discovery, self.destinations, clock, self._tell, config.module, config.seed)
         self.counter = Counter(config.counter, clock, self._tell, self.at, timeout=config.counter_timeout)
         self.peers = Peers(config.peers if tells else None, module.number, self._tell, self.traffic)
         self.observe(self.observer)
@@ -104,7 +99,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.lifecycle.ready and bool(self.destinations.by_worker)
+        return self.lifecycle.ready and self.watch.informed
 
     @property
     def draining(self) -> bool:
@@ -166,7 +161,7 @@
         """Serve until told to stop, then answer all that was taken."""
         doorway = self.doorway
         self.address = doorway.listen(self.config.name, self.config.listen, self.config.inherited)
-        self._tell(self.destinations.apply(self.config.known, cached=True))
+        self.watch.begin(self.config.known, self.at)
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
         self._housekeeping()
@@ -239,9 +234,6 @@
             self.outbound.give_up(call, api.Outcome.CANCELLED)
         self._tell(api.ClientGone(number))
 
-    def _listed(self, message: Any) -> None:
-        self._tell(self.destinations.apply(message))
-
     def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
         held = self._held + ask.body_bytes
         if len(self.requests) >= self.config.most_open or held > self._most_held or self.draining:
--- a/dockthread/net/watch.py
+++ b/dockthread/net/watch.py
@@ -1,59 +1,86 @@
-"""The watch on discovery that keeps the destination set current."""
+"""The watch on discovery that keeps the destination set current.
+
+Theory of operation. Where lists are pushed, an agent on this machine answers each call at once and at no cost with
+what it has been sent, and what it has counts as told to this ingress, watch or not, from the first moment of a
+process. So no call waits there for longer than the time in which news must be known: the first goes at the start, and
+until it is answered, or half of a drain's grace is over, nothing is sent by the old list that lay in the
+configuration; one that fails or is not answered is followed by the next within as much. Where lists are asked for,
+discovery is one service for all ingresses: there the pauses grow with the fleet (module/backoff.py), and a call that
+was never answered stays open for the pause that would follow it, as giving it up would be work for nothing.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import json
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterator
 from contextlib import suppress
+from math import inf
 from typing import Any
 
 import httptools
+import ijson
 from loguru import logger
 
+from dockthread import api
 from dockthread.clock import Clock
 from dockthread.module.backoff import Backoff
 from dockthread.net.destination_set import DestinationSet, WatchError
 from dockthread.observer import Observer
 from dockthread.settings import Address
 
-MOST_LINE = 4 * 1024 * 1024  # bytes of one line of a watch
+MOST_OBJECT = 4 * 1024 * 1024  # bytes of one object of a watch
 SILENCE = 3_500.0  # a watch says something every 2 s; one silent for longer is dead
+LEAST_PAUSE = 100.0  # between calls on an agent that refuses them
+HALF = 6_000.0  # for an object that has begun to be whole: from then on what it holds counts as told
 
 
 class WatchParser:
-    """Bytes of one watch's HTTP answer in, JSON objects out; an empty line is a sign of life."""
+    """Bytes of one watch's HTTP answer in, JSON objects out, however they are laid out and cut; what is blank
+    between them is a sign of life."""
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._line = bytearray()
-        self._found: list[Any] = []
+        self._found = ijson.sendable_list()
+        self._json = ijson.items_coro(self._found, "", multiple_values=True, use_float=True)
+        self._size = 0  # bytes of the present object, and a little more
+        self._failure: WatchError | None = None
+        self.half = False  # an object has begun and is not whole
+        self.stood = False  # the answer is a watch, and has said something
         self.ended = False
 
-    def feed(self, data: bytes | memoryview) -> list[Any]:
+    def feed(self, data: bytes | memoryview) -> Iterator[Any]:
+        """The objects that are whole now; then raises WatchError where the rest cannot be one."""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            cause = error.__context__ or error
-            raise WatchError(f"not an HTTP answer: {cause}") from error
-        found, self._found = self._found, []
-        return found
+            self._failure = self._failure or WatchError(f"not an HTTP answer: {error.__context__ or error}")
+        found = list(self._found)
+        self._found.clear()
+        yield from found
+        if self._failure is not None:
+            raise self._failure
 
     def on_headers_complete(self) -> None:
         if (status := self._parser.get_status_code()) != 200:
-            raise WatchError(f"discovery answered {status}")
+            self._failure = WatchError(f"discovery answered {status}")
 
     def on_body(self, body: bytes) -> None:
-        *lines, rest = (bytes(self._line) + body).split(b"\n")
-        self._line = bytearray(rest)
-        if len(rest) > MOST_LINE:
-            raise WatchError("a line does not end")
-        for line in lines:
-            if line.strip():
-                try:
-                    self._found.append(json.loads(line))
-                except ValueError as error:
-                    raise WatchError(f"a line is not JSON: {error}") from error
+        if self._failure is not None:
+            return
+        self.stood, before = True, len(self._found)
+        try:
+            self._json.send(body)
+        except (ijson.JSONError, UnicodeDecodeError, RecursionError) as error:
+            self._failure = WatchError(f"not JSON: {' '.join(str(error).split())[:100]}")
+            return
+        said = body.rstrip()
+        if len(self._found) > before:
+            self._size, self.half = 0, not said.endswith(b"}")
+        elif said:
+            self._size, self.half = self._size + len(body), True
+        if self._size > MOST_OBJECT:
+            self._failure = WatchError("an object does not end")
 
     def on_message_complete(self) -> None:
         self.ended = True
@@ -67,12 +94,17 @@
         address: Address,
         destinations: DestinationSet,
         clock: Clock,
-        told: Callable[[Any], None],
-        backoff: Backoff,
+        told: Callable[[api.WorkersListed], None],
+        settings: api.Settings,
+        seed: int,
     ) -> None:
-        self._backoff = backoff
+        self._pushed = not settings.must_ask_for_list
+        self._hurry = settings.safety.drain_grace * 1000.0 / 2
+        longest = max(self._hurry, LEAST_PAUSE) if self._pushed else inf
+        self._backoff = Backoff(random.Random(seed), settings.gateways, self._hurry, longest)
+        self._cached: api.WorkersListed | None = None  # the old list, while a newer one may come at once
         self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
-        self._heard = clock.now()
+        self._heard = self._whole = clock.now()  # when it last said something; and left nothing half said
         self._attempt: asyncio.Task[None] | None = None
         self._moved = asyncio.Event()
         self._failures = 0
@@ -80,6 +112,24 @@
         self._given_up = 0.0  # when one that has said nothing yet is, once it has been silent for long; 0 before
         self.observer = Observer()
 
+    def begin(self, known: Any, at: Callable[..., None]) -> None:
+        """Start from the list that lay in the configuration. Raises WatchError where it is malformed."""
+        self._cached = self._destinations.apply(known, cached=True)
+        if self._pushed and self._hurry:
+            at(self._clock.now() + self._hurry, self._use_cached)
+        else:
+            self._use_cached()
+
+    @property
+    def informed(self) -> bool:
+        """Whether there is a list to serve by."""
+        return self._cached is None and bool(self._destinations.by_worker)
+
+    def _use_cached(self) -> None:
+        cached, self._cached = self._cached, None
+        if cached is not None:
+            self._told(cached)
+
     def move(self, address: Address) -> None:
         """Watch discovery at another address, and at once: the old one soon falls silent."""
         if address != self._address:
@@ -94,15 +144,17 @@
             await asyncio.wait_for(self._moved.wait(), ms / 1000.0)
 
     async def run(self) -> None:
-        if self._destinations.by_worker:  # what it knows serves meanwhile
+        if self._destinations.by_worker and not self._pushed:  # what it knows serves meanwhile
             await self._pause(self._backoff.soon())
         while True:
-            self._heard, self._stood = self._clock.now(), False
+            self._heard = self._whole = self._clock.now()
+            self._stood = False
             self._moved.clear()
             self.observer.event("watch", after=self._destinations.revision)
             self._attempt = asyncio.create_task(self._watch())
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
             if self._moved.is_set():
+                self._given_up = 0.0
                 continue
             waited, self._given_up = self._given_up > 0, 0.0
             self._failures += 1
@@ -114,12 +166,11 @@
                 await self._pause(self._backoff.soon() if self._stood else self._backoff.again())
 
     def check(self) -> None:
-        """End a watch that has gone silent: its machine may have vanished, which TCP does not tell. A call
-        that was never answered stays open for the pause that would follow it, and the next one goes at its
-        end: a service that is down or overbooked answers it as soon as it can, and a call that was given up
-        would have been work for nothing."""
+        """End a watch that has gone silent, or does not come to the end of an object: its machine may have
+        vanished, which TCP does not tell. A call that was never answered stays open for the pause that would follow
+        it, and the next one goes at its end."""
         now = self._clock.now()
-        if self._attempt is None or now - self._heard <= SILENCE:
+        if self._attempt is None or (now - self._heard <= SILENCE and now - self._whole <= HALF):
             return
         if not self._stood and not self._given_up:
             self._given_up = now + self._backoff.again()
@@ -140,11 +191,16 @@
                     raise WatchError("discovery closed the connection")
                 self._heard = self._clock.now()
                 for message in parser.feed(memoryview(buffer)[:size]):
-                    self._told(message)
+                    listed = self._destinations.apply(message)
+                    self._use_cached()
+                    self._told(listed)
                     size = len(message["targets"])
                     self.observer.event("list", all=message.get("all"), size=size, rev=message["rev"])
-                    self._backoff.reset()
-                    self._stood = True
                     if self._failures:
                         logger.info("watch on discovery is back at {}", self._destinations.revision)
                         self._failures = 0
+                if parser.stood and not self._stood:
+                    self._stood = True
+                    self._backoff.reset()
+                if not parser.half:
+                    self._whole = self._heard
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -123,9 +123,10 @@
 
 
 class Discovery:
-    """Keeps each watch open and says nothing of its own accord."""
+    """Keeps each watch open and says nothing of its own accord; ends so many first calls without an answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, refuses: int = 0) -> None:
+        self.refuses = refuses
         self.paths: list[bytes] = []
         self.writers: list[asyncio.StreamWriter] = []
 
@@ -136,6 +137,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         self.paths.append(head.split(b" ")[1])
+        if len(self.paths) <= self.refuses:
+            writer.close()
+            return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.writers.append(writer)
 
@@ -177,15 +181,16 @@
 
 @asynccontextmanager
 async def serving(
-    *backends: Backend, clock: Clock | None = None, **changes: Any
+    *backends: Backend, clock: Clock | None = None, refuses: int = 0, wait: bool = True, **changes: Any
 ) -> AsyncIterator[tuple[Ingress, Client, Discovery]]:
-    """An ingress that serves, a client connected to it, and its discovery."""
-    discovery = Discovery()
+    """An ingress that serves (or has begun to, where none is to `wait` for that), a client connected to it, and its
+    discovery."""
+    discovery = Discovery(refuses)
     targets = [target(f"s-{n}", await backend.start()) for n, backend in enumerate(backends)]
     known = message(1, *targets, full=True)
     ingress = Ingress(config(known, await discovery.start(), **changes), clock or Clock())
     life = asyncio.create_task(ingress.run())
-    await until(lambda: ingress.ready and discovery.writers)
+    await until(lambda: ingress.lifecycle.ready and (not wait or (ingress.ready and discovery.writers)))
     client = await Client.open(ingress.address.port)
     try:
         yield ingress, client, discovery
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import time
 from pathlib import Path
 from typing import Any
 
@@ -193,11 +194,94 @@
     parser = WatchParser()
     if found is WatchError:
         with pytest.raises(WatchError):
-            [parser.feed(piece) for piece in pieces]
+            [said for piece in pieces for said in parser.feed(piece)]
     else:
         assert [said for piece in pieces for said in parser.feed(piece)] == found
 
 
+def chunks(*pieces: bytes) -> list[bytes]:
+    return [b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces]
+
+
+@pytest.mark.parametrize("indent", [None, 1, 4])
+def test_lists_are_read_however_laid_out_and_wherever_cut(indent: int | None) -> None:
+    said = [message(n, target("s-ü{[\"", 6379), full=n == 1) for n in (1, 2)]
+    text = b"\n\n".join(json.dumps(one, indent=indent, ensure_ascii=False).encode() for one in said)
+    for cut in range(1, len(text)):
+        parser, found = WatchParser(), list[Any]()
+        for piece in (HEAD, *chunks(text[:cut], text[cut:])):
+            found += parser.feed(piece)
+        assert found == said
+        assert not parser.half
+    parser, found = WatchParser(), []
+    for piece in (HEAD, *chunks(*(text[n : n + 1] for n in range(len(text))))):
+        before = len(found)
+        found += parser.feed(piece)
+        # An object is told with its last byte, not with the next one's first.
+        assert len(found) == before or piece[3:4] == b"}"
+    assert found == said
+
+
+def test_what_is_whole_is_told_before_what_cannot_be_read_and_no_object_is_endless() -> None:
+    parser, found = WatchParser(), list[Any]()
+    with pytest.raises(WatchError, match="not JSON"):
+        for piece in (HEAD, *chunks(b'{"rev": 1}\n}')):
+            for said in parser.feed(piece):
+                found.append(said)
+    assert found == [{"rev": 1}]
+    parser = WatchParser()
+    with pytest.raises(WatchError, match="does not end"):
+        for piece in (HEAD, *chunks(b'{"a": [', *[b"1, " * 10_000] * 200)):
+            list(parser.feed(piece))
+
+
+def test_a_list_that_comes_byte_by_byte_costs_no_square_of_its_length() -> None:
+    targets = [target(f"s-{n}", 6379) for n in range(3_000)]
+    text = json.dumps(message(1, *targets, full=True), indent=2).encode()
+    parser, began = WatchParser(), time.monotonic()
+    pieces = (HEAD, *chunks(*(text[n : n + 1] for n in range(len(text)))))
+    found = [said for piece in pieces for said in parser.feed(piece)]
+    assert len(found[0]["targets"]) == 3_000
+    assert time.monotonic() - began < 20  # half a second; reading all again with each byte takes minutes
+
+
+DRAINS, LEFT = api.WorkerState.DRAINING, api.WorkerState.GONE
+
+
+@pytest.mark.parametrize(
+    ("told", "late", "state"),
+    [
+        # (revision, state, boot_ms) as told first, then in a list of an older revision; what holds after it
+        ((5, "leaving", 0), (4, "active", 0), DRAINS),  # announced as leaving: it stays so
+        ((5, "left", 0), (4, "active", 0), LEFT),
+        ((5, "active", 0), (4, "leaving", 0), DRAINS),  # what takes it out is never wrong to heed
+        ((5, "left", 0), (4, "active", 1_700_000_001_000), api.WorkerState.READY),  # another process
+        ((5, "leaving", 0), (6, "active", 0), api.WorkerState.READY),
+        ((5, "leaving", 0), (5, "active", 0), api.WorkerState.READY),
+    ],
+)
+@pytest.mark.parametrize("full", [False, True])
+def test_an_older_list_brings_back_nothing_that_was_announced_as_leaving(
+    told: tuple[int, str, int], late: tuple[int, str, int], state: api.WorkerState, full: bool
+) -> None:
+    known = destinations(ManualClock(now=5_000.0, unix=1_700_000_000_000.0))
+    for revision, said, boot in (told, late):
+        entries = known.apply(message(revision, target("a", 1, said, boot), full=full)).entries
+    assert (known.by_worker[1].state, entries[0].state) == (state, state)
+    assert known.revision == late[0]
+
+
+def test_what_a_whole_list_left_out_is_not_brought_back_by_hand_or_by_an_older_list() -> None:
+    known = destinations()
+    known.apply(message(5, target("a", 1), target("b", 2), full=True))
+    known.apply(message(6, target("b", 2), full=True))
+    assert [entry.state for entry in known.apply(message(4, target("a", 1))).entries] == [LEFT]
+    known.hold("a", True, 0.0)
+    listed = known.hold("a", False, 0.0)
+    assert listed is not None
+    assert [entry.state for entry in listed.entries] == [LEFT]
+
+
 @pytest.mark.parametrize(
     ("changes", "says"),
     [
--- a/tests/test_routes_on_sockets.py
+++ b/tests/test_routes_on_sockets.py
@@ -142,7 +142,7 @@
                 await client.call()
             assert sum(sum(n.runs.values()) for n in nodes) == 10, "no node of hall-b: the others serve"
             moved = target("s-1", int(nodes[1].server.sockets[0].getsockname()[1]))
-            ingress._listed(message(2, {**moved, "az": "hall-b"}))
+            ingress._tell(ingress.destinations.apply(message(2, {**moved, "az": "hall-b"})))
             nodes[0].runs.clear()
             for _ in range(20):
                 await client.call()
@@ -276,7 +276,7 @@
                 held.append(one := socket.socket())
                 one.setblocking(False)
                 one.connect_ex(full.getsockname())
-            ingress._listed(message(2, target("full", full.getsockname()[1])))
+            ingress._tell(ingress.destinations.apply(message(2, target("full", full.getsockname()[1]))))
             got = [await client.call() for _ in range(20)]
             assert got == [b"value"] * 20
             for one in (full, *held):
--- a/tests/test_telemetry_on_sockets.py
+++ b/tests/test_telemetry_on_sockets.py
@@ -333,7 +333,7 @@
                 tally.answered(0, 0, n, "refused", f"reason-{n}", 0.0, 1.0, False)
             for n in range(100):
                 targets = [target(f"s-{n}-{k}", 1 + k) for k in range(3)]
-                ingress._listed(message(n + 2, *targets, full=True))
+                ingress._tell(ingress.destinations.apply(message(n + 2, *targets, full=True)))
             points = exporter._reader.points(1000.0)
             nodes = {p.path[1] for p in points if p.path[0] == "nodes"}
             assert nodes == {"s-99-0", "s-99-1", "s-99-2"}, "the series of a node that is gone end"
