End connections in one way, and begin no call that its client, list or window has outrun

Seen in the code, each confirmed by a test that fails on the tree before (test_crossings.py, 14 of its 15 cases; test_rules.py, test_program.py): Inbound.close_if_done, _write while draining, Doorway.shed and close_idle closed over unread bytes; Inbound._run did not read while it wrote, and read 8 KiB each 50 ms behind a last command, so a client that flooded and left was seen seconds later; Ingress.client_gone left calls to go out that waited for a connection where the settings allow no cancelling; Outbound._carry asked only whether the backend is active, so a call went to the old endpoint of a backend that had moved, or to a restarted process, and a keyed repeat went out after its window; a connection was put back at once, so a second answer was the next request's. A drain told while a connection came up was held to before (test kept). Ruled out: OutboundCall.written set late reads as never run (an end between is told as time-out or cancelled, an error of the write leaves the last byte unsent). Change: Inbound.end shuts the sending side, reads and drops for a second; flush writes at once, a task only for what the system does not take; Send.begin_by and Connection.current are asked before the first byte; a connection rests 20 ms after an answer; SIGHUP during a start is noted. Two tests that held the immediate close or back-to-back reuse now hold the end told at once and reuse after the rest.

--- a/dockthread/drill.py
+++ b/dockthread/drill.py
@@ -154,7 +154,7 @@
 
 def _write(instance: int, action: api.Action, tail: bytearray) -> bytes:
     match action:
-        case api.Send(request, worker, timeout):
+        case api.Send(request, worker, timeout, _):
             return SEND.pack(1, instance, request, *worker_fields(worker), round(timeout * SECOND))
         case api.Refuse(request, retry_after):
             return REFUSE.pack(2, instance, request, round(retry_after * SECOND))
--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from dockthread.module import api
-from dockthread.module.api import Outcome
-from dockthread.module.attempts import NEVER_RAN, PRESSED, Attempts
+from dockthread.module.api import NEVER_RAN, Outcome
+from dockthread.module.attempts import PRESSED, Attempts
 from dockthread.module.sketch import Sketch
 from dockthread.module.state import Call, Customer
 
--- a/dockthread/module/api.py
+++ b/dockthread/module/api.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Protocol
 
 
@@ -57,6 +58,9 @@
     __hash__ = object.__hash__  # counted by outcome on every call: Enum's own, in Python, costs five times as much
 
 
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     aim: float
@@ -264,11 +268,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start the request's next attempt; attempts are numbered 0, 1, 2... in the order sent."""
+    """Start the request's next attempt; attempts are numbered 0, 1, 2... in the order sent. One whose first byte
+    has not gone out at `begin_by`, as its connection comes up late, is not sent: it would repeat what may have run
+    outside the window for repeats."""
 
     request: int
     worker: int
     timeout: float
+    begin_by: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -6,7 +6,7 @@
 from itertools import accumulate
 
 from dockthread.module import api
-from dockthread.module.api import Effect, Outcome
+from dockthread.module.api import NEVER_RAN, Effect, Outcome
 from dockthread.module.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.module.choice import Choice
 from dockthread.module.state import Attempt, Call, Worker
@@ -21,7 +21,6 @@
 HALF = 0.45  # part of its time after which a request that no worker could be given ends
 PRESSED, ADVICE = 0.25, 0.25  # of an aim: expected wait that refuses the usual; wait advised then
 TIRED = 0.5  # of an aim: answer time of late from which nothing is tried again
-NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 TICK = 0.25  # s between rounds of housekeeping
 
 
@@ -56,7 +55,7 @@
         self.owner[request, len(call.attempts)] = call.ask.customer
         call.attempts.append(Attempt(worker.entry.worker, self.now, crowd))
         self.customers[call.ask.customer].out += 1
-        self.actions.append(api.Send(request, worker.entry.worker, self._sent(request, call)))
+        self.actions.append(api.Send(request, worker.entry.worker, *self._sent(request, call)))
         usual, deviation = self.usual[call.ask.request_class]
         late = self.now + usual + LATE_DEVIATIONS * deviation
         self.timer(late, self._late, request, len(call.attempts) - 1)
--- a/dockthread/module/routed.py
+++ b/dockthread/module/routed.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from itertools import accumulate
+from math import inf
 
 from dockthread.module import api
 from dockthread.module.mail import Mail
@@ -76,15 +77,18 @@
                     theirs.admitted(self.now)
                     self.entering.append(request)
 
-    def _sent(self, request: int, call: Call) -> float:
-        """After a send: the attempt's own time-out, and the timer of its copy."""
+    def _sent(self, request: int, call: Call) -> tuple[float, float]:
+        """After a send: the attempt's own time-out, the latest for its first byte, and the timer of its copy."""
+        ran, begin_by = call.ran(), inf
+        if ran is not None and ran is not call.attempts[-1] and self._effect(call) is not api.Effect.SAFE:
+            begin_by = ran.sent + call.rules.window - self.s.tick
         left, number = max(call.deadline - self.now, 0.0), len(call.attempts) - 1
         if (route := call.ask.route) is None:
-            return left
+            return left, begin_by
         route.sent(number, self.now)
         if (after := route.copy_after()) is not None:
             self.timer(self.now + after, self._copy, request, number)
-        return min(left, route.attempt_timeout or left)
+        return min(left, route.attempt_timeout or left), begin_by
 
     def _awaited(self, request: int, number: int) -> Call | None:
         """The call whose attempt is still out with nothing of an answer begun; None where none waits for it."""
--- a/dockthread/net/doorway.py
+++ b/dockthread/net/doorway.py
@@ -113,14 +113,15 @@
 
     def shed(self, surplus: bool = False) -> bool:
         """Close the inbound connection that is missed least, and is owed nothing: none that has just come, as
-        its request may be on its way or here unread. One that asked once, if at all, goes before one that
-        clients use; then the one idle for longest. False where there is none."""
+        its request may be on its way or here unread. One that is ending goes first, one that asked once, if at all,
+        before one that clients use; then the one idle for longest. False where there is none."""
         now = self._host.clock.now()
         idle = [c for c in self.inbound if c.idle and now - c.used > FRESH and (surplus or not c.surplus)]
-        idle.sort(key=lambda connection: (connection.asked > 1, connection.used))
+        idle.sort(key=lambda connection: (not connection.ending, connection.asked > 1, connection.used))
         for connection in idle:
-            if not connection.has_input():
-                connection.close()
+            if connection.ending or not connection.has_input():
+                connection.end()
+                connection.close()  # its descriptor is wanted now
                 return True
         return False
 
@@ -129,7 +130,7 @@
         if len(self.inbound) > self.budget.inbound // 2:
             for connection in list(self.inbound):
                 if connection.idle and now - connection.used > IDLE and not connection.has_input():
-                    connection.close()
+                    connection.end()
 
     def close_all(self) -> None:
         for connection in list(self.inbound):
--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -1,10 +1,19 @@
-"""Inbound connections: clients' commands in, answers out in the order of the commands."""
+"""Inbound connections: clients' commands in, answers out in the order of the commands.
+
+Theory of operation. A connection is ended in one way, whoever ends it (`end`): the sending side is shut, so that the
+client reads all that was answered and then the end; what it still sends is read and dropped, and nothing of it is
+served, for `LINGER` and `MOST_IGNORED` bytes at the most; then the socket is closed. A close over unread bytes would
+reset the connection, and might take along an answer that the client has not read. Answers are written as they come;
+only what the system does not take at once waits for a task of its own, so the reader always reads: a client's close
+is seen at once, whatever is owed to it.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import socket
 from collections import deque
+from contextlib import suppress
 from typing import Protocol
 
 from loguru import logger
@@ -17,16 +26,20 @@
 BUFFER = 8 * 1024
 MOST_UNSENT = 1024 * 1024  # bytes of answers that a client has not read
 LINGER = 1_000.0  # for a client to read the last answer before its connection is closed
-MOST_IGNORED = 64 * 1024  # bytes read meanwhile; one that sends more is cut off
+MOST_IGNORED = 64 * 1024  # bytes read meanwhile; one that sends more is cut off, unless an answer is owed
 TURN = 8  # commands of one connection that are taken before the others have theirs
 MOST_WAITING = 128  # commands of one connection without an answer
 MOST_BAD = 16  # commands of one connection that cannot be served
-TOO_MUCH = 0.05  # s between reads of a client that sends on and on behind its last command
+FLOOD = 4 * 1024 * 1024  # bytes behind the last command, read as they come: an end may stand behind them
+PAUSE, LONG_PAUSE = 0.01, 0.05  # s between reads of a client that sends on and on there; where it is a flood
 UNREAD = 5_000.0  # for a client to read an answer
 SILENCE = 1_500.0  # for a new connection to say something
 HEAD = 3_000.0  # for a command that has begun to be whole: a slow client takes 2 s for a head
 
 
+_dropped = bytearray(256 * 1024)  # where all that is read and dropped goes
+
+
 class Slot:
     """The place of one command's answer among those of its connection."""
 
@@ -110,18 +123,31 @@
             if half:
                 self._say_last(resp.TOO_SLOW)
                 self.flush()
-            elif not self.asked and self.idle:
-                self.close()
+            elif not self.asked:
+                self.end()
 
-    def close_if_done(self) -> None:
-        """Between requests an ingress may close a connection; with an answer owed it may not."""
-        if self.idle:
+    def end(self) -> None:
+        """Between requests an ingress may end a connection; with an answer owed it may not."""
+        if self._closed or not self.idle or self.ending:
+            return
+        self._last = True
+        self.close_by = self._host.clock.now() + LINGER
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
             self.close()
 
+    @property
+    def ending(self) -> bool:
+        return self.close_by is not None
+
     def close(self) -> None:
+        """At once: the client has left, or has had its time."""
         if self._closed:
             return
         self._closed = True
+        with suppress(OSError):  # what has come meanwhile would make a reset of it
+            self.sock.recv_into(_dropped)
         # A cancelled task keeps its traceback, that its frames, buffer and all, and those this connection:
         # let go of here, they need not wait for a collection of garbage.
         for task in (self._task, self._writer):
@@ -137,9 +163,25 @@
 
     def flush(self) -> None:
         """Send every answer that has none missing before it."""
-        if self._collect() and self._writer is None:
-            self._writing = self._host.clock.now()  # not first when its task runs: `check` may come before it
+        if not self._collect() or self._writer is not None:
+            return
+        data = b"".join(self._unsent)
+        try:
+            sent = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        self._host.traffic.client_out += sent
+        self._unsent_bytes -= sent
+        self._unsent.clear()
+        if sent < len(data):
+            self._unsent.append(data[sent:])
+            self._writing = self._host.clock.now()
             self._writer = self._loop.create_task(self._write())
+        elif not self._pending and (self._last or self._host.draining):
+            self.end()
 
     def _collect(self) -> bool:
         """Move the answers that may be sent to those unsent; False where there is nothing to send."""
@@ -168,39 +210,27 @@
             self.close()
             return
         self._writer = None
-        if self._pending:
-            return
-        if self._last:
-            # Closing with input unread would reset the connection and might take the answer with it.
-            self.close_by = self._host.clock.now() + LINGER
-            try:
-                self.sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                self.close()
-        elif self._host.draining:
-            self.close()
+        if not self._pending and (self._last or self._host.draining):
+            self.end()
 
     async def _run(self) -> None:
         buffer = bytearray(BUFFER)
         try:
-            while size := await self._loop.sock_recv_into(self.sock, buffer):
+            while size := await self._loop.sock_recv_into(self.sock, _dropped if self._last else buffer):
                 if self._last:
                     self._ignored += size
                     if self._ignored > MOST_IGNORED:
                         if self.idle:
                             break
-                        await asyncio.sleep(TOO_MUCH)  # an answer is owed: no close, but no work either
+                        # An answer is owed: no close, but little work.
+                        await asyncio.sleep(PAUSE if self._ignored < FLOOD else LONG_PAUSE)
                     continue
                 self._host.traffic.client_in += size
                 self._feed(bytes(buffer[:size]))
                 more = True
                 while more:
                     more = self._take()
-                    # What was refused at once is sent from here, with no task of its own.
-                    if self._collect() and self._writer is None:
-                        self._writing = self._host.clock.now()
-                        self._writer = self._task
-                        await self._write()
+                    self.flush()
                     if self._closed:
                         return
                     if more:
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -181,7 +181,7 @@
             self.lifecycle.enter(Phase.DRAINING)
             self.peers.close()  # nothing new is let in; at an upgrade the next process takes the address
             for connection in list(self.doorway.inbound):
-                connection.close_if_done()
+                connection.end()
             # By then all is answered; what still stands is a client that does not read.
             longest = max(c.deadline for c in self.config.module.classes) * 1000.0
             self.at(self.clock.now() + longest + LINGER, doorway.close_all)
@@ -279,6 +279,9 @@
             ask = slot.ask
             self.observer.gone(ask.request_class, ask.plan, ask.customer, ask.units, bool(slot.calls))
             self._tell(api.ClientGone(slot.number))
+            for call in slot.calls:  # what has not begun would begin for nobody
+                if not call.begun:
+                    self.outbound.give_up(call, api.Outcome.NOT_SENT)
             self._close_id(slot)
             self._settle(slot)
 
@@ -329,7 +332,8 @@
     def _send(self, action: api.Send) -> None:
         request, now = self.requests[action.request], self.clock.now()
         due = min(request.deadline, now + action.timeout * 1000.0) if action.timeout > 0 else request.deadline
-        call = OutboundCall(request.number, len(request.calls), action.worker, request.ask, now, due)
+        number, begin_by = len(request.calls), action.begin_by * 1000.0
+        call = OutboundCall(request.number, number, action.worker, request.ask, now, due, begin_by)
         self.traffic.calls += 1
         self.traffic.copies += request.out > 0
         request.calls.append(call)
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -6,30 +6,35 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from math import inf
 
 from loguru import logger
 
 from dockthread.clock import Clock
 from dockthread.module.api import IDLE_PART as IDLE_PART
-from dockthread.module.api import Outcome
+from dockthread.module.api import NEVER_RAN, Outcome
 from dockthread.net import resp
 from dockthread.net.destination_set import Destination, DestinationSet
 from dockthread.observer import Observer, Traffic
 
 BUFFER = 16 * 1024
 WHOLE = 200.0  # for the rest of an answer that has begun: backends write one at once
+QUIET = 20.0  # for a second answer to show: it comes some milliseconds late, and would be taken for the next call's
 
 
 class OutboundCall:
     """One attempt of one request, from the module's word to start it until its outcome is told."""
 
-    __slots__ = ("ask", "connection", "due", "number", "outcome", "request", "started", "worker", "written")
+    __slots__ = ("ask", "begun", "connection", "due", "number", "outcome", "request", "begin_by", "started", "worker",
+                 "written")  # fmt: skip
 
     def __init__(
-        self, request: int, number: int, worker: int, ask: resp.Ask, started: float, due: float
+        self, request: int, number: int, worker: int, ask: resp.Ask, started: float, due: float, begin_by: float = inf
     ) -> None:
         self.request, self.number, self.worker, self.ask = request, number, worker, ask
         self.started, self.due = started, due
+        self.begin_by = begin_by  # the latest for its first byte, where it repeats what may have run
+        self.begun = False  # its first byte may have gone out: it counts as sent on
         self.written = False  # its last byte has gone out: from here on it may run
         self.outcome: Outcome | None = None
         self.connection: Connection | None = None
@@ -42,10 +47,10 @@
     connection, which would take the other down with it.
     """
 
-    __slots__ = ("call", "destination", "endpoint", "idle_since", "sock", "task", "up", "wake")
+    __slots__ = ("born", "call", "destination", "endpoint", "idle_since", "sock", "task", "up", "wake")
 
     def __init__(self, destination: Destination, call: OutboundCall) -> None:
-        self.destination, self.endpoint = destination, destination.endpoint
+        self.destination, self.endpoint, self.born = destination, destination.endpoint, destination.started
         self.sock = self.endpoint.new_socket()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.call: OutboundCall | None = call
@@ -54,6 +59,12 @@
         self.wake: asyncio.Future[None] | None = None
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def current(self) -> bool:
+        """Whether it leads to the process that is listed now, and that may be sent to."""
+        to = self.destination
+        return to.active and to.endpoint == self.endpoint and to.started == self.born
+
     def dead(self) -> bool:
         """Whether an idle connection was closed, or says something nobody asked for: either is readable."""
         try:
@@ -94,14 +105,9 @@
         return len(self._connections)
 
     def start(self, call: OutboundCall) -> None:
-        """Put a call on the connection that was idle for the shortest time, or on a new one."""
+        """Put a call on the connection that was idle for the shortest time, but long enough, or on a new one."""
         destination = self._destinations.by_worker[call.worker]
-        idle = self._idle.get(call.worker)
-        while idle:
-            connection = idle.pop()
-            if connection.endpoint != destination.endpoint or connection.dead():
-                self._drop(connection)
-                continue
+        if (connection := self._rested(call.worker)) is not None:
             connection.call, call.connection = call, connection
             if connection.wake is not None and not connection.wake.done():
                 connection.wake.set_result(None)
@@ -126,12 +132,27 @@
         connection.task = self._loop.create_task(self._run(connection))
         self._at(call.started + self._connect_timeout, self._connect_timed_out, connection, call)
 
+    def _rested(self, worker: int) -> Connection | None:
+        idle, latest = self._idle.get(worker), self._clock.now() - QUIET
+        place = len(idle) if idle else 0
+        while idle and place:
+            place -= 1
+            connection = idle[place]
+            if not connection.current or connection.dead():
+                del idle[place]
+                self._drop(connection)
+            elif connection.idle_since <= latest:
+                del idle[place]
+                return connection
+        return None
+
     def give_up(self, call: OutboundCall, outcome: Outcome) -> None:
-        """Stop waiting for a call: its connection closes, which tells the backend."""
+        """Stop waiting for a call: its connection closes, which tells the backend. One that was not begun cannot
+        run."""
         if call.outcome is None:
             if call.connection is not None:
                 self._drop(call.connection)
-            self._end(call, outcome)
+            self._end(call, outcome if call.begun or outcome in NEVER_RAN else Outcome.NOT_SENT)
 
     def forget(self, destination: Destination) -> None:
         """Close the idle connections to a destination that left, moved or restarted."""
@@ -204,13 +225,16 @@
 
     async def _carry(self, connection: Connection, call: OutboundCall, buffer: bytearray) -> bool:
         """One call, and the wait for the next; False where the connection is of no more use."""
-        left = call.due - self._clock.now()
-        # Just before the first byte: a drain may have been told while the connection came up.
-        if left <= 0 or not self._destinations.active(call.worker):
+        now = self._clock.now()
+        left = call.due - now
+        # Just before the first byte: a drain may have been told while the connection came up, another process may
+        # stand in its place, and the time for a repeat may be over.
+        if left <= 0 or now > call.begin_by or not connection.current:
             self._end(call, Outcome.NOT_SENT)
             return False
         command = call.ask.onward(left)
         self._traffic.node_out += len(command)
+        call.begun = True
         await self._loop.sock_sendall(connection.sock, command)
         call.written = True
         self._traffic.tries += 1
@@ -220,7 +244,7 @@
             return False
         connection.call, connection.idle_since = None, self._clock.now()
         wake = connection.wake = self._loop.create_future()
-        if connection.destination.active and connection.endpoint == connection.destination.endpoint:
+        if connection.current:
             self._idle.setdefault(call.worker, deque()).append(connection)
             self._tell(call, reply)
             await wake
--- a/dockthread/routes/model.py
+++ b/dockthread/routes/model.py
@@ -19,8 +19,7 @@
 from dataclasses import dataclass, field, replace
 
 from dockthread import api
-from dockthread.module.api import Outcome
-from dockthread.module.attempts import NEVER_RAN
+from dockthread.module.api import NEVER_RAN, Outcome
 from dockthread.module.rules import Gateway
 from dockthread.routes.bounds import Bounds, Facts
 from dockthread.routes.options import RouteOptions
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -209,7 +209,7 @@
             )
 
 
-async def _serve(config: Config, file: str | None, read: Read | None, trace: bool) -> None:
+async def _serve(config: Config, file: str | None, read: Read | None, trace: bool, early: list[int]) -> None:
     daemon = Daemon(config, file, read, trace)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -221,12 +221,15 @@
 
     # Not by the loop, whose end would give the signal its default back, and that is to kill.
     signal.signal(signal.SIGHUP, hung_up)
+    if early:  # the files may have been read before it came
+        daemon.reload()
     await daemon.run()
 
 
 def serve(file: str | None = None) -> int:
     """Serve until told to stop; the exit code. `file`: the operator's, before `DOCKTHREAD_CONFIG`."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is an ingress that can read it again
+    early = list[int]()  # one that comes before there is an ingress is heeded once there is
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         config = read_config(os.environ)
         file = file or os.environ.get("DOCKTHREAD_CONFIG") or None
@@ -239,7 +242,7 @@
         level = os.environ.get("DOCKTHREAD_LOG") or (log.level if log else "INFO")
         set_up(level.upper(), log, ingress=config.name)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_serve(config, file, read, level.upper() == "TRACE"))
+            runner.run(_serve(config, file, read, level.upper() == "TRACE", early))
         signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the interpreter's end, too, gives defaults back
     except (SettingsError, WatchError) as error:
         print(f"dockthread: {error}", file=sys.stderr)
