--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -7,7 +7,7 @@
 
 from dockthread.module import api
 from dockthread.module.api import NEVER_RAN, Effect, Outcome
-from dockthread.module.belief import MOST_PACE, Crowds, Ease, Reports, scarcity, smoothed
+from dockthread.module.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.module.choice import Choice
 from dockthread.module.state import Attempt, Call, Worker
 
@@ -30,7 +30,6 @@
         self.reports, self.crowds = Reports(settings.load_names), Crowds()
         self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
-        self.ease = Ease(self.tight / 5, now)
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
 
     def _survey(self) -> None:
@@ -112,8 +111,7 @@
             w.full_for, w.spare, w.spare_at = 0.0, w.spare + 1, self.now
             self.done += 1
             step = SLOW_STEP * self._tells(w)
-            self.ease.answered(e.took, self.now)
-            self.slow += step * (min(e.took, LATEST * self.tight) - self.ease.least - self.slow)
+            self.slow += step * (min(e.took, LATEST * self.tight) - self.slow)
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
             self.slow += FAIL_STEP * self._tells(w) * (self.tight - self.slow)
             w.full_for = max(FULL_FOR, min(2 * w.full_for, FULL_MOST))
@@ -192,9 +190,8 @@
 
     def _wait(self) -> float:
         """Expected wait by Little's law, of attempts out less what chance could put there: sees a jam come.
-        Or the wait in answers of late: sees work that was given up here and still waits at the workers."""
+        Or the answer time of late: sees work that was given up here and still waits at the workers."""
         lag = self._usually()  # a start's first answers come so much later than its requests
         over = min(DONE_OVER * self.s.safety.fall_time + TICK, self.now - self.born - lag)
-        if self.out < MOST_CHANCE or not self.done or over < lag:
-            return max(0.0, self.slow)
-        return max((self.out - math.sqrt(self.out)) * over / self.done - self.ease.least, self.slow)
+        few = self.out < MOST_CHANCE or not self.done or over < lag
+        return max(0.0 if few else (self.out - math.sqrt(self.out)) * over / self.done, self.slow)
--- a/dockthread/module/belief.py
+++ b/dockthread/module/belief.py
@@ -19,7 +19,6 @@
 FIELDS = ("rif", "busy", "rate", "lat_ms", "q")  # of load reports, on the wire
 BUSY = 1.0  # requests that a node's use of all its cores counts as, beside the own ones there
 OWN_ROOM, CROWD_STEP = 2.0, 0.02  # requests that take no longer than one does; weight of one more in the usual
-EASE_STEP, EASE_HALF = 0.05, 30.0  # least weight of one more answer; s in which ease halves its way up
 CLIPPED = 3.0  # deviations beyond the usual time that one answer can tell
 
 
@@ -82,28 +81,6 @@
         return here / self.usual
 
 
-class Ease:
-    """What an answer takes where nobody waits: the least that a smoothed answer time came to, creeping up again.
-
-    Only what is beyond it tells of a wait. Without this a deployment whose work takes a fifth of its tightest aim
-    was held to be pressed on a quiet day: half of its cheap class was refused. It is never more than what it was
-    may be at the start, but for what it has crept up since: a start into a jam must not take that for ease."""
-
-    __slots__ = ("_most", "at", "least", "mean", "seen")
-
-    def __init__(self, most: float, now: float) -> None:
-        self._most, self.least, self.mean, self.seen, self.at = most, 0.0, 0.0, 0, now
-
-    def answered(self, took: float, now: float) -> None:
-        self.seen += 1
-        self.mean += max(EASE_STEP, 1 / self.seen) * (took - self.mean)
-        if self.seen * EASE_STEP < 1:  # the first to come are the fastest
-            return
-        way = 1 - 0.5 ** ((now - self.at) / EASE_HALF)
-        least = self.least + way * (self.mean - self.least) if self.least else self._most
-        self.least, self.at = min(self.mean, least), now
-
-
 class Reports:
     """Reads load reports, whichever of the wire's fields a site has: requests at a worker that are not from here.
 
