Close a broken connection outside of the decision in which its break is met

Seen in reading again: flush writes at once there, so a reset may be met while a decision is carried out; close then ended the client's other requests (client_gone, _settle), and a Send behind it in the same decision found no request: KeyError in Ingress._send, caught by the decider, but the module was never told of the attempt's end, and held it for out at its worker and its customer for good. Shown by a test that forces it (two requests held, a reset, one decision that refuses the first and sends the second): fails on the tree before at "could not be carried out". Change: Inbound.flush and _collect leave the close to a turn of its own.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -162,7 +162,9 @@
         self._host.closed(self)
 
     def flush(self) -> None:
-        """Send every answer that has none missing before it."""
+        """Send every answer that has none missing before it. A connection that this finds broken closes in a turn
+        of its own: this may stand in the middle of a decision, and the close ends requests that the rest of it is
+        about."""
         if not self._collect() or self._writer is not None:
             return
         data = b"".join(self._unsent)
@@ -171,7 +173,7 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
-            self.close()
+            self._loop.call_soon(self.close)
             return
         self._host.traffic.client_out += sent
         self._unsent_bytes -= sent
@@ -181,7 +183,7 @@
             self._writing = self._host.clock.now()
             self._writer = self._loop.create_task(self._write())
         elif not self._pending and (self._last or self._host.draining):
-            self.end()
+            self.end()  # nothing is pending: this ends no request
 
     def _collect(self) -> bool:
         """Move the answers that may be sent to those unsent; False where there is nothing to send."""
@@ -192,7 +194,7 @@
             self._unsent_bytes += len(answer)
         if self._unsent_bytes > MOST_UNSENT:
             logger.debug("a client does not read its answers: connection closed")
-            self.close()
+            self._loop.call_soon(self.close)
             return False
         return bool(self._unsent)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from functools import partial
@@ -305,3 +306,33 @@
             await until(lambda: backend.closed == 1)  # a call that nobody waits for is given up
 
     run(scenario())
+
+
+def test_a_reset_met_in_the_middle_of_a_decision_leaves_no_attempt_without_an_end() -> None:
+    """One decision refuses a request and sends another of the same client, which has reset its connection."""
+
+    async def scenario() -> None:
+        awaits_its_list = SETTINGS | {"Safety": {"StopSendingWithin": 1_000_000}}
+        changes: dict[str, Any] = {"clock": ManualClock(), "settings": awaits_its_list, "wait": False}
+        async with serving(Backend(hangs), **changes) as (ingress, _, _):
+            with resting(ingress) as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.sendall(a_request(1) + a_request(2))
+                await until(lambda: len(ingress.requests) == 2)  # held: no list has been told yet
+                first, second = ingress.requests
+            events, decides = list[api.Event](), ingress.gateway.handle
+
+            def handle(now: float, event: api.Event) -> list[api.Action]:
+                events.append(event)
+                if len(events) > 1:
+                    return decides(now, event)
+                return [api.Refuse(first, 0.0), api.Send(second, 1, 4.0)]
+
+            ingress.gateway.handle = handle  # type: ignore[method-assign]
+            ingress._tell(api.TimerFired(0))  # in one step with the reset: nothing else has seen it
+            await until(lambda: not ingress.requests)
+            ends = [e.outcome for e in events if isinstance(e, api.AttemptEnded) and e.request == second]
+            assert len(ends) == 1 and ends[0] in (api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
+            assert [e.request for e in events if isinstance(e, api.ClientGone)] == [second]
+
+    run(scenario())
