Word a client's request once in the tests, for those that write it themselves too

Need: test_crossings.a_request said again what loopback.Client.ask says, with a parameter that nothing gave. Change: loopback.request words it for both; assertions as they were.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -82,6 +82,13 @@
     return b"*%d\r\n%b" % (len(args), b"".join(parts))
 
 
+def request(number: int, kind: str = "status", d: int = 4000, body: bytes | None = None, key: bytes = KEY) -> bytes:
+    """A request as clients write it."""
+    terms = b"c=%b,t=gross,d=%d,units=2,spread=3,first=1" % (kind.encode(), d)
+    verb = b"API.READ" if kind == "status" else b"API.WRITE"
+    return command(verb, key, b"%016x" % number, terms, *([body] if body is not None else []))
+
+
 async def serves(args: list[bytes]) -> bytes | None:
     """What a backend does with a command: an answer, or None to break the connection."""
     return b"*3\r\n$5\r\nvalue\r\n$7\r\nused=37\r\n$24\r\ninflight=7,qps=2,queue=1\r\n"
@@ -169,9 +176,7 @@
         return str(found) if isinstance(found, hiredis.ReplyError) else found
 
     def ask(self, kind: str = "status", d: int = 4000, body: bytes | None = None, key: bytes = KEY) -> None:
-        terms = b"c=%b,t=gross,d=%d,units=2,spread=3,first=1" % (kind.encode(), d)
-        verb = b"API.READ" if kind == "status" else b"API.WRITE"
-        self.send(verb, key, b"%016x" % self.asked, terms, *([body] if body is not None else []))
+        self.writer.write(request(self.asked, kind, d, body, key))
         self.asked += 1
 
     async def call(self, kind: str = "status", **more: Any) -> Any:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,11 +20,11 @@
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
 from tests.loopback import (
-    KEY,
     SETTINGS,
     Backend,
     command,
     message,
+    request,
     run,
     serving,
     target,
@@ -39,11 +39,6 @@
     return SETTINGS | {"Limits": SETTINGS["Limits"] | changes}
 
 
-def a_request(number: int, kind: bytes = b"status", more: bytes = b"") -> bytes:
-    verb = b"API.READ" if kind == b"status" else b"API.WRITE"
-    return command(verb, KEY, b"%016x" % number, b"c=%b,t=gross,d=4000" % kind) + more
-
-
 @contextmanager
 def resting(ingress: Ingress) -> Iterator[socket.socket]:
     """A client's own socket, whose bytes lie at the ingress as soon as it has sent them."""
@@ -88,7 +83,7 @@
                 usual.writer.close()
                 await until(lambda: ingress.clients == 1)
                 clock.advance(5_000)
-                first, second = a_request(1), a_request(2)
+                first, second = request(1), request(2)
                 if unread == b"half":  # it is read, and its rest comes after the end
                     sock.sendall(first[:30])
                     await until(lambda: any(c.half for c in ingress.doorway.inbound))
@@ -98,7 +93,7 @@
                 ends(ingress, clock)
                 sock.sendall(second)
                 await asyncio.sleep(0.02)  # it is read, and dropped
-                sock.sendall(a_request(3))
+                sock.sendall(request(3))
                 assert await asyncio.to_thread(sock.recv, 100) == b"+PONG\r\n"
                 assert await asyncio.to_thread(sock.recv, 100) == b""  # an end, no reset
                 assert not ingress.requests and ingress.clients == 1
@@ -111,8 +106,8 @@
     run(scenario())
 
 
-@pytest.mark.parametrize("kind", [b"status", b"checkout"])
-def test_the_last_answer_arrives_whole_though_the_client_goes_on_sending(kind: bytes) -> None:
+@pytest.mark.parametrize("kind", ["status", "checkout"])
+def test_the_last_answer_arrives_whole_though_the_client_goes_on_sending(kind: str) -> None:
     async def scenario() -> None:
         go = asyncio.Event()
 
@@ -122,14 +117,14 @@
 
         backend = Backend(answers)
         async with serving(backend) as (ingress, client, _):
-            client.writer.write(a_request(1, kind))
+            client.writer.write(request(1, kind))
             await until(lambda: backend.seen)
             ingress.lifecycle.enter(Phase.LINGERING)
             ingress.lifecycle.enter(Phase.DRAINING)
-            client.writer.write(a_request(2))  # taken while draining: refused, behind the answer it waits for
+            client.writer.write(request(2))  # taken while draining: refused, behind the answer it waits for
             go.set()
             assert [await client.answer(), str(await client.answer())[:4]] == [b"value", "BUSY"]
-            client.writer.write(a_request(3))
+            client.writer.write(request(3))
             assert await client.answer() is None
             assert len(backend.seen) == 1
 
@@ -141,7 +136,7 @@
 
     async def scenario() -> None:
         async with serving(wait=False, clock=ManualClock()) as (ingress, client, _):
-            client.writer.write(a_request(1) + command(b"QUIT") + b"x" * 1_000_000)
+            client.writer.write(request(1) + command(b"QUIT") + b"x" * 1_000_000)
             await until(lambda: ingress.requests)
             await client.writer.drain()
             client.writer.close()
@@ -165,7 +160,7 @@
                 client.writer.write(command(b"PING", b"x" * 60_000))
                 asked += 1
                 await until(partial(said, connection, asked))
-            client.writer.write(a_request(1))
+            client.writer.write(request(1))
             await until(lambda: ingress.requests)
             client.writer.write_eof()  # it has left, and no reset tells so
             await asyncio.wait_for(until(lambda: not ingress.requests), 3)
@@ -232,7 +227,7 @@
     async def scenario() -> None:
         late = LateBackend()
         async with serving(late, clock=ManualClock(), settings=limits(Cancelling=cancels)) as (ingress, client, _):
-            client.writer.write(a_request(1))
+            client.writer.write(request(1))
             await until(lambda: len(ingress.outbound))
             client.writer.close()
             await until(lambda: ingress.clients == 0)
@@ -296,7 +291,7 @@
         steps = {"answer": answer, "close": close, "signal": signal, "list": changes}
         backend = Backend(waits)
         async with serving(backend, clock=clock) as (ingress, client, discovery):
-            client.writer.write(a_request(1, b"checkout"))
+            client.writer.write(request(1, "checkout"))
             await until(lambda: backend.seen)
             for step in order:
                 await steps[step]()
@@ -317,7 +312,7 @@
         async with serving(Backend(hangs), **changes) as (ingress, _, _):
             with resting(ingress) as sock:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                sock.sendall(a_request(1) + a_request(2))
+                sock.sendall(request(1) + request(2))
                 await until(lambda: len(ingress.requests) == 2)  # held: no list has been told yet
                 first, second = ingress.requests
             events, decides = list[api.Event](), ingress.gateway.handle
