--- a/benchmarks/fleet_count.py
+++ b/benchmarks/fleet_count.py
@@ -154,7 +154,9 @@
     for node in worst:
         print(node, "  ".join(f"{name} {n}" for name, n in nodes[node].most_common()))
     for plan in stores(found):
-        print(f"{plan.name}: {plan.sent:.0f} units sent on, {plan.beyond:.0f} beyond the quota; refused (reason, store held):")
+        print(
+            f"{plan.name}: {plan.sent:.0f} units sent on, {plan.beyond:.0f} beyond the quota; refused (reason, store held):"
+        )
         for (reason, held), units in plan.refused.most_common():
             print(f"    {reason}, {held}: {units}")
     return 0
--- a/benchmarks/fleet_idle.py
+++ b/benchmarks/fleet_idle.py
@@ -72,9 +72,7 @@
     options = parser.parse_args()
     for fleet in (False, True):
         with TemporaryDirectory() as folder:
-            spent, served = asyncio.run(
-                measure(Path(folder), options.members, options.seconds, options.load, fleet)
-            )
+            spent, served = asyncio.run(measure(Path(folder), options.members, options.seconds, options.load, fleet))
         words = "with [fleet]" if fleet else "without"
         print(f"{options.members} ingresses, {options.load} requests a second each, {words}: "
               f"{spent:.1f} ms of processor time a second, {served} served")  # fmt: skip
--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -106,4 +106,3 @@
     if done.returncode:
         raise ValueError(f"--since {revision}: git knows no such revision: {done.stderr.strip()[:200]}")
     return done.stdout.splitlines()
-
--- a/benchmarks/regress.py
+++ b/benchmarks/regress.py
@@ -144,7 +144,9 @@
         try:
             raw = json.loads(path.read_bytes())
             if raw["mark"] == mark:
-                self.found = {n: Found(f["score"], f["days"], tuple(f["broken"]), f["gate"]) for n, f in raw["found"].items()}
+                self.found = {
+                    n: Found(f["score"], f["days"], tuple(f["broken"]), f["gate"]) for n, f in raw["found"].items()
+                }
         except (OSError, ValueError, KeyError, TypeError):
             pass  # nothing that could be gone on with: all is played
 
@@ -193,7 +195,9 @@
     for number, run in enumerate(chosen, 1):
         began, went_on = time.monotonic(), run.name in played.found and not options.again
         try:
-            found = played.found[run.name] if went_on else play(run, options.kit.absolute(), options.why, options.full)
+            found = (
+                played.found[run.name] if went_on else play(run, options.kit.absolute(), options.why, options.full)
+            )
         except (OSError, subprocess.SubprocessError, ValueError) as error:
             print(f"regress: {run.name}: {error}", file=sys.stderr)
             return 2
--- a/benchmarks/telemetry.py
+++ b/benchmarks/telemetry.py
@@ -143,7 +143,11 @@
     parser.add_argument("--requests", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=60.0)
     o = parser.parse_args()
-    jobs = {"cpu": lambda: cpu(o.before, o.rounds, o.requests, o.interval), "delay": lambda: delay(o.seconds), "points": points}
+    jobs = {
+        "cpu": lambda: cpu(o.before, o.rounds, o.requests, o.interval),
+        "delay": lambda: delay(o.seconds),
+        "points": points,
+    }
     main(jobs[o.what]())
 
 
--- a/dockthread/drill.py
+++ b/dockthread/drill.py
@@ -91,9 +91,7 @@
 
 
 def _ended(record: bytes, _: bytes) -> api.Event:
-    _, call, reason, actual, settled, took, attempt, address, port, metered, n, *load = ENDED.unpack_from(
-        record, 2
-    )
+    _, call, reason, actual, settled, took, attempt, address, port, metered, n, *load = ENDED.unpack_from(record, 2)
     outcome = _known(OUTCOMES, reason, "outcome")
     used = (metered - 1) / 100 if metered else None
     return api.AttemptEnded(
--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -148,9 +148,7 @@
         if stored.base:
             self._owner.restore(stored.base, stored.state)
             self._came_to(stored.base, 0)
-        self._agreement = Agreement(
-            self.name, self._addresses, stored, self._times, self._rng, self._clock.now()
-        )
+        self._agreement = Agreement(self.name, self._addresses, stored, self._times, self._rng, self._clock.now())
         self._links = {n: Link(a, self._rng) for n, a in self._addresses.items() if n != self.name}
         self.opened = True
         self._tasks = [self._loop.create_task(self._carry_out())]
--- a/dockthread/lab/fleet/rig.py
+++ b/dockthread/lab/fleet/rig.py
@@ -39,7 +39,12 @@
     further lines of the section `[fleet]`."""
 
     def __init__(
-        self, folder: Path, size: int, settings: dict[str, Any], targets: list[dict[str, Any]], most_out: int = 1,
+        self,
+        folder: Path,
+        size: int,
+        settings: dict[str, Any],
+        targets: list[dict[str, Any]],
+        most_out: int = 1,
         more: str = "",
     ) -> None:
         self.folder, self.names = folder, [f"n{i}" for i in range(size)]
--- a/dockthread/lab/fleet/turns_plants.py
+++ b/dockthread/lab/fleet/turns_plants.py
@@ -51,9 +51,7 @@
 
 
 class StartHoldsNothing(Part):
-    def begins(
-        self, state: bytes, commands: Iterable[tuple[int, bytes]], agreed: int, last: int, term: int
-    ) -> None:
+    def begins(self, state: bytes, commands: Iterable[tuple[int, bytes]], agreed: int, last: int, term: int) -> None:
         """Waits until it is told how far the log is agreed."""
 
 
--- a/dockthread/lab/load.py
+++ b/dockthread/lab/load.py
@@ -71,9 +71,7 @@
 def command(one: Arrival, target: Target, number: int) -> bytes:
     verb = b"API.WRITE" if one.request_class in target.writes else b"API.READ"
     left = target.deadlines[one.request_class] * 1000.0
-    terms = (
-        f"c={one.request_class},t={one.plan},d={left:.0f},units={one.units},spread={one.spread},first={one.first}"
-    )
+    terms = f"c={one.request_class},t={one.plan},d={left:.0f},units={one.units},spread={one.spread},first={one.first}"
     args = (verb, b"%016x" % one.firm, b"%016x" % number, terms.encode())
     return b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args)
 
--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -168,9 +168,7 @@
             return self._steer(units, worth, c, chance, c.rest * gap, False)
         return chance if c.store.level >= units else 0.0
 
-    def _steer(
-        self, units: float, worth: float, c: Customer, chance: float, gone: float, told: bool
-    ) -> float:
+    def _steer(self, units: float, worth: float, c: Customer, chance: float, gone: float, told: bool) -> float:
         """Above phi: the design's chance at a reserve in the customer's store, rising to 1 over it (what the
         store holds is inside the quota), to 0 under it. Cheaper classes leave more to the others. `gone`:
         what the others will have taken since they were heard of."""
--- a/dockthread/module/rules.py
+++ b/dockthread/module/rules.py
@@ -25,10 +25,15 @@
         super().__init__(settings, seed, now)
         self.fade = FADE_HALF * scarcity(settings.gateways)
         self.handlers: dict[type, Callable[[Any], None]] = {
-            api.RequestArrived: self._arrived, api.AttemptEnded: self._ended, api.WorkersListed: self._listed,
-            api.PeerSaid: self._said, api.TimerFired: self.fired, api.ProbeEnded: lambda e: None,
+            api.RequestArrived: self._arrived,
+            api.AttemptEnded: self._ended,
+            api.WorkersListed: self._listed,
+            api.PeerSaid: self._said,
+            api.TimerFired: self.fired,
+            api.ProbeEnded: lambda e: None,
             api.StreamBegun: lambda e: self.streaming.add(e.request),
-            api.ClientGone: lambda e: self._finish(e.request), api.Counted: self._counted,
+            api.ClientGone: lambda e: self._finish(e.request),
+            api.Counted: self._counted,
         }
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -180,9 +180,7 @@
                 self.codes.pop(w.code, None)
         if not self.s.may_tell:
             plans = self.s.plans
-            self.customers = {
-                k: c for k, c in self.customers.items() if not c.spent_none(plans[c.plan], self.now)
-            }
+            self.customers = {k: c for k, c in self.customers.items() if not c.spent_none(plans[c.plan], self.now)}
         elif len(self.customers) > MANY:  # those long idle, with full stores, are as good as new
             kept = {k: c for k, c in self.customers.items() if c.store.at > self.now - IDLE or c.out}
             self.customers, self.mail = kept, {}
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -258,8 +258,15 @@
             self._guard(request)
         self._tell(
             api.RequestArrived(
-                request.number, ask.request_class, ask.plan, ask.customer, left / 1000.0, ask.units, ask.spread,
-                ask.first, route,
+                request.number,
+                ask.request_class,
+                ask.plan,
+                ask.customer,
+                left / 1000.0,
+                ask.units,
+                ask.spread,
+                ask.first,
+                route,
             )
         )
         return request
@@ -268,9 +275,7 @@
         """The answer to a request that the module never hears of: there is no room for it, or it is open."""
         outcome = REFUSED if answer.startswith(resp.BUSY[:5]) else FAILED
         self.traffic.outcomes[outcome][ask.request_class] += 1
-        self.observer.answered(
-            ask.request_class, ask.plan, ask.customer, outcome, reason, 0.0, ask.units, False
-        )
+        self.observer.answered(ask.request_class, ask.plan, ask.customer, outcome, reason, 0.0, ask.units, False)
         return Slot(answer)
 
     def client_gone(self, slot: Slot) -> None:
@@ -309,8 +314,15 @@
             self._answer(request, resp.served(reply.value), SERVED)
         self._tell(
             api.AttemptEnded(
-                call.request, call.number, call.worker, reply.outcome, request.finished,
-                (self.clock.now() - call.started) / 1000.0, reply.cost if first else 0.0, reply.used, reply.load,
+                call.request,
+                call.number,
+                call.worker,
+                reply.outcome,
+                request.finished,
+                (self.clock.now() - call.started) / 1000.0,
+                reply.cost if first else 0.0,
+                reply.used,
+                reply.load,
             )
         )
         self._settle(request)
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -252,9 +252,7 @@
         self._tell(call, reply)
         return False
 
-    async def _answer(
-        self, connection: Connection, call: OutboundCall, buffer: bytearray
-    ) -> tuple[resp.Reply, bool]:
+    async def _answer(self, connection: Connection, call: OutboundCall, buffer: bytearray) -> tuple[resp.Reply, bool]:
         """What a backend says of a call, and whether the connection is of no more use after it.
 
         A spoilt answer is an error, never a refusal: the request has run. What came behind a good one answers
--- a/dockthread/net/request.py
+++ b/dockthread/net/request.py
@@ -15,9 +15,7 @@
 
     __slots__ = ("ask", "calls", "connection", "deadline", "gone", "guarded", "number", "out", "taken")
 
-    def __init__(
-        self, number: int, connection: Inbound, ask: resp.Ask, deadline: float, left: float
-    ) -> None:
+    def __init__(self, number: int, connection: Inbound, ask: resp.Ask, deadline: float, left: float) -> None:
         super().__init__()
         self.taken = deadline - left
         self.number, self.connection, self.ask, self.deadline = number, connection, ask, deadline
--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -60,9 +60,7 @@
 
     __slots__ = ("_bare", "_errors", "_least", "_left", "_line", "_parts", "_value", "broken")
 
-    def __init__(
-        self, parts: range, null: bool = False, errors: bool = False, bare: bool = False
-    ) -> None:
+    def __init__(self, parts: range, null: bool = False, errors: bool = False, bare: bool = False) -> None:
         self._parts, self._errors, self._bare = parts, errors, bare  # bare: parts, and no array round them
         self._least = -1 if null else 0  # length of a part
         self._left = 0  # parts of the present array that are still to come
@@ -209,9 +207,7 @@
     ) -> None:
         """`offered`: the classes that clients may ask for, where not all that the module knows."""
         self._classes = {
-            name.encode(): number
-            for number, name in enumerate(names.classes)
-            if offered is None or name in offered
+            name.encode(): number for number, name in enumerate(names.classes) if offered is None or name in offered
         }
         self._plans = {name.encode(): number for number, name in enumerate(names.plans)}
         safe = [c.effect is api.Effect.SAFE for c in classes]
--- a/dockthread/ops/figures.py
+++ b/dockthread/ops/figures.py
@@ -35,8 +35,14 @@
         counts = figures.outcomes[outcome]
         for number, kind in enumerate(figures.classes):
             lines.append(f'{prefix}_{name}{{kind="{kind}"}} {counts[number] if number < len(counts) else 0}')
-    for name, kind in (("tries", "counter"), ("active", "gauge"), ("pool_size", "gauge"),
-                       ("pool_ejected", "gauge"), ("config_applied", "counter"), ("config_rejected", "counter")):
+    for name, kind in (
+        ("tries", "counter"),
+        ("active", "gauge"),
+        ("pool_size", "gauge"),
+        ("pool_ejected", "gauge"),
+        ("config_applied", "counter"),
+        ("config_rejected", "counter"),
+    ):
         lines.append(f"# TYPE {prefix}_{name} {kind}")
         lines.append(f"{prefix}_{name} {getattr(figures, name)}")
     return ("\n".join(lines) + "\n").encode()
--- a/dockthread/routes/explain.py
+++ b/dockthread/routes/explain.py
@@ -28,9 +28,7 @@
         raise SettingsError(f"{text!r} is no request, such as c=CLASS,t=PLAN,units=1; {known}") from error
 
 
-def explain(
-    routes: Mapping[str, RouteOptions], settings: api.Settings, names: Names, facts: Facts
-) -> Iterator[str]:
+def explain(routes: Mapping[str, RouteOptions], settings: api.Settings, names: Names, facts: Facts) -> Iterator[str]:
     table = Table(names, settings.zone, 1)
     table.replace(routes, 0.0)
     one = table.find(facts)
--- a/dockthread/sections.py
+++ b/dockthread/sections.py
@@ -33,9 +33,7 @@
     return option or environ.get(VARIABLE) or None
 
 
-def read_text(
-    text: str, file: str, settings: api.Settings | None = None, names: Names | None = None
-) -> Read:
+def read_text(text: str, file: str, settings: api.Settings | None = None, names: Names | None = None) -> Read:
     """With the platform's settings, routes are proved against them; without, only against each other."""
     found = read(text, file, KINDS)
     found.problems += check(file, found.named("route"), settings, names)
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -204,9 +204,7 @@
                 continue
             self.applied += 1
             self.ingress.reconfigure(config)
-            logger.info(
-                "configuration read again: discovery at {}, counter at {}", config.discovery, config.counter
-            )
+            logger.info("configuration read again: discovery at {}, counter at {}", config.discovery, config.counter)
 
 
 async def _serve(config: Config, file: str | None, read: Read | None, trace: bool, early: list[int]) -> None:
--- a/dockthread/telemetry/collectd.py
+++ b/dockthread/telemetry/collectd.py
@@ -69,9 +69,7 @@
 class Wording:
     """Words reports and notifications as sealed packets."""
 
-    def __init__(
-        self, host: str, plugin: str, interval: float, seal: Callable[[bytes], bytes], room: int
-    ) -> None:
+    def __init__(self, host: str, plugin: str, interval: float, seal: Callable[[bytes], bytes], room: int) -> None:
         """`interval` in seconds; `room`: bytes of a packet that `seal` leaves to parts."""
         self._host, self._plugin, self._interval = host, plugin, interval
         self._seal, self._room = seal, room
--- a/dockthread/telemetry/links.py
+++ b/dockthread/telemetry/links.py
@@ -112,7 +112,6 @@
             raise OSError(code, "the receiver's machine refused the packets")
 
 
-
 class UnixCommands(Socketed):
     """Lines to collectd's unixsock plugin, each of which it answers: a report is over when all are."""
 
--- a/dockthread/telemetry/receiver/ledger.py
+++ b/dockthread/telemetry/receiver/ledger.py
@@ -109,9 +109,7 @@
     def _add(self, source: str, rows: list[tuple[str, str, int, float, float]]) -> None:
         self.seen[source] += len(rows)
         self._db.execute("begin")
-        self._db.executemany(
-            "insert into points (source, series, life, seconds, value) values (?, ?, ?, ?, ?)", rows
-        )
+        self._db.executemany("insert into points (source, series, life, seconds, value) values (?, ?, ?, ?, ?)", rows)
         self._db.execute("commit")
 
     def fault(self, source: str, kind: str) -> None:
--- a/dockthread/telemetry/tally.py
+++ b/dockthread/telemetry/tally.py
@@ -139,9 +139,7 @@
                 self._unserved(request_class, plan, firm, outcome, reason, units)
         self._pending.clear()
 
-    def _unserved(
-        self, request_class: int, plan: int, firm: int, outcome: str, reason: str, units: float
-    ) -> None:
+    def _unserved(self, request_class: int, plan: int, firm: int, outcome: str, reason: str, units: float) -> None:
         key = (request_class, plan, outcome, reason)
         if key not in self.why and len(self.why) >= MOST_REASONS * len(self.answers):
             key = (request_class, plan, outcome, "other")
--- a/dockthread/work/part.py
+++ b/dockthread/work/part.py
@@ -110,9 +110,7 @@
 
     # What it hears
 
-    def begins(
-        self, state: bytes, commands: Iterable[tuple[int, bytes]], agreed: int, last: int, term: int
-    ) -> None:
+    def begins(self, state: bytes, commands: Iterable[tuple[int, bytes]], agreed: int, last: int, term: int) -> None:
         """From the disk, before anything is agreed: `commands` with their places in the log, which is known to
         be agreed up to `agreed` and ends with `last`, in `term`. Where it was agreed further nobody knows yet,
         so whatever was held at any place from there on is held: what stands behind may be replaced."""
@@ -233,9 +231,7 @@
         ))  # fmt: skip
 
 
-def together(
-    views: Mapping[str, View], members: int, bears: float
-) -> tuple[tuple[Hall, ...], tuple[str, ...]]:
+def together(views: Mapping[str, View], members: int, bears: float) -> tuple[tuple[Hall, ...], tuple[str, ...]]:
     """What a majority sees. A node counts as ready where over half of the views have it so, as failing where a third
     of the members met failures; a hall is pressed where a third of the views say so. One member alone, which
     may be ill itself, calls nothing failing in a fleet of over three."""
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -76,9 +76,7 @@
 
 
 def test_outcome_of_the_wire_page_is_read() -> None:
-    record = bytes.fromhex(
-        "020003000000c4913a5dc80003000144480000000a124a07431f5600" + "0152b81e3f" + "00" * 15
-    )
+    record = bytes.fromhex("020003000000c4913a5dc80003000144480000000a124a07431f5600" + "0152b81e3f" + "00" * 15)
     event = drill._ended(record, b"")
     assert isinstance(event, api.AttemptEnded)
     assert (event.request, event.outcome, event.true_units, event.finished) == (
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -27,9 +27,7 @@
     return found
 
 
-def fleet(
-    folder: Path, scenario: Callable[[Rig], Awaitable[None]], size: int = 3, watched: bool = True
-) -> None:
+def fleet(folder: Path, scenario: Callable[[Rig], Awaitable[None]], size: int = 3, watched: bool = True) -> None:
     """Runs it on real processes. All the while no member may hold more than one for granted, nor two members hold
     unlike ones at the same place of the log."""
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -205,7 +205,7 @@
 
 @pytest.mark.parametrize("indent", [None, 1, 4])
 def test_lists_are_read_however_laid_out_and_wherever_cut(indent: int | None) -> None:
-    said = [message(n, target("s-ü{[\"", 6379), full=n == 1) for n in (1, 2)]
+    said = [message(n, target('s-ü{["', 6379), full=n == 1) for n in (1, 2)]
     text = b"\n\n".join(json.dumps(one, indent=indent, ensure_ascii=False).encode() for one in said)
     for cut in range(1, len(text)):
         parser, found = WatchParser(), list[Any]()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -250,9 +250,7 @@
 
 def test_a_malformed_known_list_ends_it_with_one_plain_line(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
-    path.write_text(
-        json.dumps(json.loads(CONFIG.read_text()) | {"known": {"rev": "x"}, "listen": "127.0.0.1:0"})
-    )
+    path.write_text(json.dumps(json.loads(CONFIG.read_text()) | {"known": {"rev": "x"}, "listen": "127.0.0.1:0"}))
     done = subprocess.run(
         [sys.executable, "-m", "dockthread"],
         cwd=ROOT,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -105,9 +105,7 @@
         return request in self.sent
 
 
-def entry(
-    n: int, state: WorkerState = WorkerState.READY, started: float = 0.0, cell: int = 0
-) -> api.WorkerEntry:
+def entry(n: int, state: WorkerState = WorkerState.READY, started: float = 0.0, cell: int = 0) -> api.WorkerEntry:
     return api.WorkerEntry(1000 + n, state, 0, 0, cell, 1.0, started)
 
 
@@ -409,9 +407,7 @@
 
 
 @settings(derandomize=True, max_examples=60, deadline=None)
-@given(
-    st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2), st.floats(0.0, 0.7)), max_size=60), st.booleans()
-)
+@given(st.lists(st.tuples(st.integers(0, 4), st.integers(0, 2), st.floats(0.0, 0.7)), max_size=60), st.booleans())
 def test_one_answer_in_time_and_no_effect_twice(steps: list[tuple[int, int, float]], copies: bool) -> None:
     drive = Drive(replace(BASE, second_copies=copies), workers=4)
     asked: dict[int, tuple[int, float]] = {}
@@ -560,9 +556,7 @@
     assert drive.let_in(drive.ask(SAFE, RATE))
 
 
-def report(
-    key: int, plan: int, arrived: float, spent: float, left: float, out: int = 0, life: int = 1
-) -> bytes:
+def report(key: int, plan: int, arrived: float, spent: float, left: float, out: int = 0, life: int = 1) -> bytes:
     sums = message.whole(arrived), message.whole(spent)
     return message.pack(life, [], [message.Report(key, plan, out, *sums, left)])
 
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -112,9 +112,7 @@
         ("status", breaks, "BUSY 375", 4),
     ],
 )
-def test_what_may_have_run_is_repeated_only_where_safe(
-    kind: str, answer: Any, expected: str, runs: int
-) -> None:
+def test_what_may_have_run_is_repeated_only_where_safe(kind: str, answer: Any, expected: str, runs: int) -> None:
     async def scenario() -> None:
         backends = [Backend(answer) for _ in range(4)]
         async with serving(*backends) as (_, client, _):
@@ -561,9 +559,7 @@
                 full.bind(("127.0.0.1", 0))
                 full.listen(0)
                 port = full.getsockname()[1]
-                fill = [
-                    socket.socket() for _ in range(4)
-                ]  # the queue is full: what comes now is not answered
+                fill = [socket.socket() for _ in range(4)]  # the queue is full: what comes now is not answered
                 for one in fill:
                     one.setblocking(False)
                     one.connect_ex(("127.0.0.1", port))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -99,7 +99,7 @@
         clock = ManualClock()
         async with serving(Backend(), clock=clock) as (ingress, _, discovery):
             discovery.push(message(2, target("s-1", 1)))
-            discovery.writers[-1].write(b"9\r\n{\"rev\":3,\r\n")
+            discovery.writers[-1].write(b'9\r\n{"rev":3,\r\n')
             for second in range(7):
                 heard = ingress.watch._heard
                 clock.advance(1_000)
