--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 lint: build
 	.venv/bin/ruff check .
+	.venv/bin/ruff format --check .
 	.venv/bin/mypy
 
 run: build
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -364,19 +364,11 @@
     def _refuse(self, action: api.Refuse) -> None:
         if (request := self.requests.get(action.request)) and not request.finished:
             answer = resp.busy(min(action.retry_after * 1000.0, self._advice))
-            self._answer(request, answer, REFUSED, action.reason or self._last_outcome(request))
+            self._answer(request, answer, REFUSED, action.reason or request.last_outcome)
 
     def _fail(self, action: api.Fail) -> None:
         if (request := self.requests.get(action.request)) and not request.finished:
-            self._answer(request, resp.FAILED, FAILED, self._last_outcome(request))
-
-    @staticmethod
-    def _last_outcome(request: Request) -> str:
-        """Why the module gave a request up, as far as its calls tell."""
-        if not request.calls:
-            return "no-node"
-        outcome = request.calls[-1].outcome
-        return "time" if outcome is None else outcome.value
+            self._answer(request, resp.FAILED, FAILED, request.last_outcome)
 
     def _cancel(self, action: api.Cancel) -> None:
         if request := self.requests.get(action.request):
--- a/dockthread/net/request.py
+++ b/dockthread/net/request.py
@@ -27,6 +27,14 @@
     def finished(self) -> bool:
         return self.gone or self.answer is not None
 
+    @property
+    def last_outcome(self) -> str:
+        """Why the module gave the request up, as far as its calls tell."""
+        if not self.calls:
+            return "no-node"
+        outcome = self.calls[-1].outcome
+        return "time" if outcome is None else outcome.value
+
 
 class Bounds(api.Route, Protocol):
     """What a request's route adds for the ingress itself; in milliseconds, 0 for none."""
