Move the frames of the agreed log into a codec that other protocols share

Need: the distribution of control wants the same length, version and keyed tag before its own messages. Change: dockthread/frames.py holds Codec, MalformedFrame and UnknownMessage (Spoilt and Unread before); fleet/wire.py keeps its messages. No behaviour changes.

--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -293,7 +293,7 @@
                 body = await reader.readexactly(wire.length(head))
                 try:
                     message = wire.unpack(head, body, self._key)
-                except wire.Unread as error:
+                except wire.UnknownMessage as error:
                     self.spoilt += 1
                     logger.debug("fleet: a message is dropped: {}", error)
                     continue
@@ -309,7 +309,7 @@
                 else:
                     self._do(self._agreement.heard(self._clock.now(), message))
                     self._arm()
-        except wire.Spoilt as error:
+        except wire.MalformedFrame as error:
             self.spoilt += 1
             logger.debug("fleet: a frame is dropped: {}", error)
         except (OSError, EOFError, asyncio.CancelledError):
--- a/dockthread/fleet/wire.py
+++ b/dockthread/fleet/wire.py
@@ -1,30 +1,17 @@
-"""What ingresses of a fleet say to each other about their log, and how it travels.
-
-One frame is four bytes of length, one of the version, 16 of a keyed BLAKE2 tag (zeros where there is no key), and a
-message in msgpack. Raises `Spoilt` for whatever is not such a frame, with the reason; a reader drops it and counts.
-"""
+"""What ingresses of a fleet say to each other about their log; it travels in frames (dockthread/frames.py)."""
 
 from __future__ import annotations
 
-import hashlib
-import hmac
-import struct
 from typing import Final
 
 import msgspec
 
+from dockthread.frames import HEAD, Codec, MalformedFrame, UnknownMessage
+
 VERSION: Final = 1
 MOST_FRAME: Final = 1 << 20  # bytes of a message
-TAG: Final = 16
-HEAD: Final = struct.Struct("<IB16s")
-
-
-class Spoilt(Exception):
-    """Bytes that are no frame of this version with a right tag."""
 
-
-class Unread(Spoilt):
-    """A whole frame whose message means nothing here, as one of a later release may: what follows it can be read."""
+__all__ = ["HEAD", "MalformedFrame", "UnknownMessage"]
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -121,32 +108,5 @@
 
 Message = VoteAsk | VoteAnswer | Append | Appended | Install | TakeOver | Ask | Told | Show
 
-_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
-
-
-def _tag(key: bytes, body: bytes) -> bytes:
-    return hashlib.blake2b(body, digest_size=TAG, key=key).digest() if key else bytes(TAG)
-
-
-def pack(message: Message, key: bytes = b"") -> bytes:
-    body = _encoder.encode(message)
-    return HEAD.pack(len(body), VERSION, _tag(key, body)) + body
-
-
-def length(head: bytes) -> int:
-    """Of the message that follows a frame's head."""
-    size, version, _ = HEAD.unpack(head)
-    if version != VERSION:
-        raise Spoilt(f"version {version}, and this program speaks {VERSION}")
-    if size > MOST_FRAME:
-        raise Spoilt(f"{size} bytes, and {MOST_FRAME} are the most")
-    return int(size)
-
-
-def unpack(head: bytes, body: bytes, key: bytes = b"") -> Message:
-    if not hmac.compare_digest(HEAD.unpack(head)[2], _tag(key, body)):
-        raise Spoilt("the tag is wrong: another key, or changed on the way")
-    try:
-        return _decoder.decode(body)
-    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-        raise Unread(f"no message: {error}") from error
+_codec: Codec[Message] = Codec(Message, VERSION, MOST_FRAME)
+pack, length, unpack = _codec.pack, _codec.length, _codec.unpack
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -12,7 +12,17 @@
 from dockthread.fleet import wire
 from dockthread.fleet.actions import Apply, Keep, Role, Send, Stored, Times
 from dockthread.fleet.agreement import Agreement
-from dockthread.fleet.wire import COMMAND, VOTERS, Append, Appended, Entry, Spoilt, TakeOver, VoteAnswer, VoteAsk
+from dockthread.fleet.wire import (
+    COMMAND,
+    VOTERS,
+    Append,
+    Appended,
+    Entry,
+    MalformedFrame,
+    TakeOver,
+    VoteAnswer,
+    VoteAsk,
+)
 from dockthread.lab.fleet.plants import NAMES
 from dockthread.lab.fleet.seeds import SCENARIOS, many, story
 
@@ -41,14 +51,14 @@
     assert wire.length(head) == len(body)
     assert wire.unpack(head, body, b"key") == told
     for key, changed in ((b"other", body), (b"key", body[:-1] + b"\x00"), (b"", body)):
-        with pytest.raises(Spoilt, match="tag"):
+        with pytest.raises(MalformedFrame, match="tag"):
             wire.unpack(head, changed, key)
-    with pytest.raises(Spoilt, match="version 9"):
+    with pytest.raises(MalformedFrame, match="version 9"):
         wire.length(wire.HEAD.pack(3, 9, bytes(16)))
-    with pytest.raises(Spoilt, match="the most"):
+    with pytest.raises(MalformedFrame, match="the most"):
         wire.length(wire.HEAD.pack(wire.MOST_FRAME + 1, 1, bytes(16)))
     for rubbish in (b"", b"\xc1", b"\x93\xa1a\x01\x02", b"\xff" * 40):
-        with pytest.raises(Spoilt, match="no message"):
+        with pytest.raises(MalformedFrame, match="no message"):
             wire.unpack(wire.HEAD.pack(len(rubbish), 1, bytes(16)), rubbish)
 
 
--- a/tests/test_turns_simulated.py
+++ b/tests/test_turns_simulated.py
@@ -110,12 +110,12 @@
 
 def test_a_message_of_a_later_release_is_told_from_spoilt_bytes() -> None:
     later = msgspec.msgpack.encode(["z", 1, "n1"])
-    with pytest.raises(wire.Unread):
+    with pytest.raises(wire.UnknownMessage):
         wire.unpack(wire.HEAD.pack(len(later), wire.VERSION, bytes(16)), later)
     whole = wire.pack(wire.Show(1, "n1", b"x"), b"k" * 16)
-    with pytest.raises(wire.Spoilt) as spoilt:
+    with pytest.raises(wire.MalformedFrame) as spoilt:
         wire.unpack(whole[: wire.HEAD.size], whole[wire.HEAD.size :], b"l" * 16)
-    assert not isinstance(spoilt.value, wire.Unread), "another key: the connection is closed"
+    assert not isinstance(spoilt.value, wire.UnknownMessage), "another key: the connection is closed"
 
 
 @pytest.mark.parametrize("plant", NAMES)
