Call a zone a zone in the order of work and its rehearsals

Need: the field's term is zone; hall is one deployment's word for it. Change: names, messages, scenario key and pages of dockthread/work and dockthread/lab/fleet; DestinationSet.hall and the route's key stay until their files are free. In test_rehearsal the two rules' names are listed in their new sorted order.

--- a/dockthread/cli/work.py
+++ b/dockthread/cli/work.py
@@ -118,10 +118,10 @@
 
 @work.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@click.option("--most-out", default=1, show_default=True, type=click.IntRange(1), help="Of one hall at once.")
+@click.option("--most-out", default=1, show_default=True, type=click.IntRange(1), help="Of one zone at once.")
 @json_option
 def plan(file: Path, most_out: int, as_json: bool) -> None:
-    """Offline: in what order the machines of FILE would go, and why each waits. A line: MACHINE HALL [URGENCY]."""
+    """Offline: in what order the machines of FILE would go, and why each waits. A line: MACHINE ZONE [URGENCY]."""
     from dockthread.work.plan import read, rounds
 
     try:
--- a/dockthread/fleet/options.py
+++ b/dockthread/fleet/options.py
@@ -16,9 +16,9 @@
 class FleetOptions(Section, frozen=True, kw_only=True):
     """`listen`: this ingress's own address among the others; empty for none of it. `members`: all that may vote, as
     NAME=HOST:PORT, this one included; the same at each. `directory`: for term, vote and log. `key_file`: a key that
-    all share. `most_out`: machines of one hall that may be out for work at once. `patience`: silence of a leader
+    all share. `most_out`: machines of one zone that may be out for work at once. `patience`: silence of a leader
     after which another is voted for; `beat`: between its signs of life. `node_bears`: requests that a node of
-    weight 1 bears at once, 0 for not known; `reserve`: part of what the rest of a hall bears that is to be
+    weight 1 bears at once, 0 for not known; `reserve`: part of what the rest of a zone bears that is to be
     left while one is out. `lapse`: after which a turn whose drain was not confirmed is over; `dead`: silence
     after which a member's word is not waited for."""
 
@@ -53,7 +53,7 @@
         if not self.directory:
             yield "directory", "is missing", "name a folder that outlives the process"
         if self.most_out < 1:
-            yield "most_out", "is under 1", "write how many machines of a hall may be out at once"
+            yield "most_out", "is under 1", "write how many machines of a zone may be out at once"
         if not 0 <= self.reserve < 1:
             yield "reserve", "is not from 0% to under 100%", "write the part of the rest that is to be left"
         if self.node_bears < 0:
--- a/dockthread/lab/fleet/rehearsal.py
+++ b/dockthread/lab/fleet/rehearsal.py
@@ -4,7 +4,7 @@
 Staff ask one member, look at any that answers for their own request (by their word on it), pull the plug of a
 machine once it is out, say done after the work, and ask again whatever was not answered. A light load goes to
 each ingress meanwhile. Whoever ends in its own turn is started again, as a supervisor would. Rules, by name:
-`hall`: machines of a hall whose plug is pulled are never more than the file allows; `used`: nothing comes to a
+`zone`: machines of a zone whose plug is pulled are never more than the file allows; `used`: nothing comes to a
 machine that is pulled, where every member that lives had said that it holds it; `ingresses`: one at a time is
 away in its own turn; `lost`: no request to an ingress that was never killed or held still fails, is lost or
 gets no answer in its time; `alike`: at the end all say the same; `progress`: at the end all that was asked for
@@ -58,9 +58,9 @@
     def __init__(self, folder: Path, scenario: Played) -> None:
         s = self._settings = scenario.settings
         self._scenario, self._verdict, self._begun = scenario, Verdict(), time.monotonic()
-        halls = [f"hall-{chr(97 + i)}" for i in range(s.halls)]
-        self._nodes = {f"m{i}": Node(f"m{i}", halls[i % s.halls]) for i in range(s.machines)}
-        self._folder, self._halls = folder, halls
+        zones = [f"hall-{chr(97 + i)}" for i in range(s.zones)]
+        self._nodes = {f"m{i}": Node(f"m{i}", zones[i % s.zones]) for i in range(s.machines)}
+        self._folder, self._zones = folder, zones
         self._rig: Rig
         self._hurt: set[str] = set()  # ingresses that were killed or held still
         self._turned: set[str] = set()  # ingresses that went in their turn
@@ -72,7 +72,7 @@
         for node in self._nodes.values():
             await node.open()
         targets = [node.listed() for node in self._nodes.values()]
-        settings = {**SETTINGS, "Azs": self._halls}
+        settings = {**SETTINGS, "Azs": self._zones}
         self._rig = Rig(self._folder, self._scenario.ingresses, settings, targets, self._settings.most_out, MORE)
         tasks: list[asyncio.Task[Any]] = []
         try:
@@ -223,9 +223,9 @@
 
     async def _work_at(self, target: str, held: list[str]) -> None:
         node = self._nodes[target]
-        away = [n for n in self._nodes.values() if n.pulled and n.hall == node.hall]
+        away = [n for n in self._nodes.values() if n.pulled and n.zone == node.zone]
         if len(away) >= self._settings.most_out:
-            self._break("hall", f"{target} of {node.hall} is out with {', '.join(n.uid for n in away)}")
+            self._break("zone", f"{target} of {node.zone} is out with {', '.join(n.uid for n in away)}")
         node.pull()
         before, alive = node.used, set(self._rig.processes) - self._down
         self._say(f"{target} is pulled, held by {', '.join(held)}")
--- a/dockthread/lab/fleet/scenario.py
+++ b/dockthread/lab/fleet/scenario.py
@@ -5,7 +5,7 @@
     about = the leader dies between grant and drain
     ingresses = 3
     machines = 4
-    halls = 2
+    zones = 2
     lasts = 20s
     load = 20
     steps =
@@ -50,12 +50,12 @@
 
 
 class ScenarioSection(Section, frozen=True, kw_only=True):
-    """`load`: requests a second to each ingress; `work`: how long staff work at a machine; `most_out`: of a hall."""
+    """`load`: requests a second to each ingress; `work`: how long staff work at a machine; `most_out`: of a zone."""
 
     about: str = ""
     ingresses: int = 3
     machines: int = 4
-    halls: int = 1
+    zones: int = 1
     lasts: Duration = Duration(20_000.0)
     load: int = 20
     work: Duration = Duration(500.0)
@@ -65,8 +65,8 @@
     def faults(self) -> Iterable[tuple[str, str, str]]:
         if self.ingresses not in INGRESSES:
             yield "ingresses", f"is {self.ingresses}", "write 1, 3, 5 or 7"
-        if not 1 <= self.halls <= self.machines <= 32:
-            yield "machines", f"is {self.machines} in {self.halls} halls", "write 1 to 32, and no more halls"
+        if not 1 <= self.zones <= self.machines <= 32:
+            yield "machines", f"is {self.machines} in {self.zones} zones", "write 1 to 32, and no more zones"
         if not 1_000 <= self.lasts <= 600_000:
             yield "lasts", "is not from 1s to 10min", "write for how long it is played"
         for text in self.steps.split("\n"):
--- a/dockthread/lab/fleet/standin.py
+++ b/dockthread/lab/fleet/standin.py
@@ -14,8 +14,8 @@
 class Node:
     """`used`: connections and requests that came while the plug was pulled; they are broken off."""
 
-    def __init__(self, uid: str, hall: str, work: float = 0.005) -> None:
-        self.uid, self.hall, self._work = uid, hall, work
+    def __init__(self, uid: str, zone: str, work: float = 0.005) -> None:
+        self.uid, self.zone, self._work = uid, zone, work
         self.pulled = self.failing = False
         self.served = self.used = 0
         self._open: set[asyncio.StreamWriter] = set()
@@ -40,7 +40,7 @@
 
     def listed(self) -> dict[str, object]:
         """In discovery's words."""
-        return {"uid": self.uid, "endpoint": str(self.address), "az": self.hall, "state": "active", "boot_ms": 0}
+        return {"uid": self.uid, "endpoint": str(self.address), "az": self.zone, "state": "active", "boot_ms": 0}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.pulled:
--- a/dockthread/lab/fleet/turns_checker.py
+++ b/dockthread/lab/fleet/turns_checker.py
@@ -1,6 +1,6 @@
 """Judges turns of work from what machines, members and staff did. Shares no code with what it judges.
 
-Rules, by name: `hall`: machines of one hall that staff have pulled or that are cold are never more than the
+Rules, by name: `zone`: machines of one zone that staff have pulled or that are cold are never more than the
 file allows; `used`: who said that it holds a machine sends nothing there while it is pulled; `idle`: nor has
 it anything out there when the plug is pulled; `dead`: whoever's word was not waited for was out of reach for
 long; `once`: what staff asked for once is one request; `early`: no turn lapses before its time; `ingresses`:
@@ -16,10 +16,10 @@
 
 
 class TurnsChecker:
-    """`hall_of`: by machine; `most`: away at once; `warm`, `dead`, `lapse` in ms."""
+    """`zone_of`: by machine; `most`: away at once; `warm`, `dead`, `lapse` in ms."""
 
-    def __init__(self, hall_of: Mapping[str, str], most: int, warm: float, dead: float, lapse: float) -> None:
-        self._hall_of, self._most, self._warm, self._dead, self._lapse = hall_of, most, warm, dead, lapse
+    def __init__(self, zone_of: Mapping[str, str], most: int, warm: float, dead: float, lapse: float) -> None:
+        self._zone_of, self._most, self._warm, self._dead, self._lapse = zone_of, most, warm, dead, lapse
         self.broken: list[Broken] = []
         self.pulled: dict[str, Collection[str]] = {}  # by machine: who said that it holds it
         self._cold: dict[str, float] = {}  # by machine: until when
@@ -37,11 +37,11 @@
         """Staff pull the plug. `busy`: requests of each member there; `out_of_reach`: for how many ms of late each
         member was down, held still or hard to hear."""
         self.pulled[machine] = held
-        hall = self._hall_of[machine]
-        away = [m for m in self.pulled if self._hall_of[m] == hall]
-        away += [m for m, until in self._cold.items() if self._hall_of[m] == hall and until > at and m not in away]
+        zone = self._zone_of[machine]
+        away = [m for m in self.pulled if self._zone_of[m] == zone]
+        away += [m for m, until in self._cold.items() if self._zone_of[m] == zone and until > at and m not in away]
         if len(away) > self._most:
-            self._break("hall", at, f"{', '.join(sorted(away))} of {hall} are away, and {self._most} may be")
+            self._break("zone", at, f"{', '.join(sorted(away))} of {zone} are away, and {self._most} may be")
         for member in members:
             if member in held and busy.get(member):
                 self._break("idle", at, f"{member} has {busy[member]} out at {machine}, which is pulled")
--- a/dockthread/lab/fleet/turns_plants.py
+++ b/dockthread/lab/fleet/turns_plants.py
@@ -37,8 +37,8 @@
 
 
 class OneMoreOut(Order):
-    def most(self, hall: str, kind: str = "node") -> int:
-        return super().most(hall, kind) + 1
+    def most(self, zone: str, kind: str = "node") -> int:
+        return super().most(zone, kind) + 1
 
 
 class LeaderIsNotAsked(Part):
--- a/dockthread/lab/fleet/turns_world.py
+++ b/dockthread/lab/fleet/turns_world.py
@@ -1,7 +1,7 @@
 """Turns of work on the simulated network: members with their part, machines, and staff who ask, pull plugs and
 say done.
 
-Beside the agreement's faults (world.py): machines that fail for a while, and halls that are pressed. Each
+Beside the agreement's faults (world.py): machines that fail for a while, and zones that are pressed. Each
 member sends requests to machines that it does not hold; a request lasts some ms, now and then long. Staff ask
 at any member, look at any for what became of their own request (by their own word on it), pull the plug once
 it is out, and say done after the work; whatever is not answered they ask again under the same id. An ingress
@@ -26,7 +26,7 @@
 
 TERMS = Terms(bears=0.0, reserve=0.2, lapse=4_000.0, dead=2_000.0)
 WARM, CALM = 800.0, 40_000.0  # of a machine that comes back; in which all that was asked for has to come to its end
-HALLS = {f"m{i}": "ab"[i % 2] for i in range(6)}
+ZONES = {f"m{i}": "ab"[i % 2] for i in range(6)}
 LOOK, SEND, STAFF = 60.0, 25.0, 350.0  # between turns of a part; requests of all members; wishes of staff
 AGAIN = 2_500.0  # after which staff ask once more
 FAULTS = (
@@ -61,7 +61,7 @@
         super().__init__(seed, size, plant, faults)
         drawn = tuple(f for f in FAULTS if self.rng.random() < 0.4)
         self.faults = drawn if faults is None else faults
-        self.turns = TurnsChecker(HALLS, 1, WARM, TERMS.dead - SLACK, TERMS.lapse - SLACK)
+        self.turns = TurnsChecker(ZONES, 1, WARM, TERMS.dead - SLACK, TERMS.lapse - SLACK)
         self.checker.once, self.turns.broken = False, self.checker.broken
         self.own: dict[str, Own] = {}
         self.wishes: list[Wish] = []
@@ -160,13 +160,13 @@
 
     def _show(self, m: Member, leader: str) -> None:
         part = self.own[m.name].part
-        halls = []
-        for hall in sorted(set(part.asked_for().values())):
-            here = [t for t in HALLS if HALLS[t] == hall and t not in self.turns.pulled]
+        zones = []
+        for zone in sorted(set(part.asked_for().values())):
+            here = [t for t in ZONES if ZONES[t] == zone and t not in self.turns.pulled]
             ready = tuple(t for t in here if t not in part.holds)
             ailing = tuple(t for t in ready if t in self.failing)
-            halls.append(Seen(hall, ready, ailing, 0.0, self.pressed))
-        data = msgspec.msgpack.encode(View(tuple(halls), tuple(sorted(part.asked_for())), part.latest()))
+            zones.append(Seen(zone, ready, ailing, 0.0, self.pressed))
+        data = msgspec.msgpack.encode(View(tuple(zones), tuple(sorted(part.asked_for())), part.latest()))
         if self._travels(m.name, leader):
             self.at(self.rng.expovariate(1 / self.delay), self._shown, leader, m.name, data)
 
@@ -196,7 +196,7 @@
         if m is None or m.stalled:
             return
         own = self.own[m.name]
-        machine = self.rng.choice(sorted(HALLS))
+        machine = self.rng.choice(sorted(ZONES))
         if machine not in own.part.holds:
             self.turns.used(self.now, m.name, machine)
             own.out[machine] = own.out.get(machine, 0) + 1
@@ -229,12 +229,12 @@
         self.at(self.rng.uniform(0.5, 1.5) * STAFF, self._staff)
         wanting = [w for w in self.wishes if w.step != "over"]
         if self.now < FAULTY and len(wanting) < 4:
-            free = sorted({*HALLS, *self.voters} - {w.target for w in wanting})
-            target = self.rng.choice(free if self.rng.random() < 0.2 else [t for t in free if t in HALLS] or free)
+            free = sorted({*ZONES, *self.voters} - {w.target for w in wanting})
+            target = self.rng.choice(free if self.rng.random() < 0.2 else [t for t in free if t in ZONES] or free)
             self._words += 1
-            word, kind = f"w{self._words}", "node" if target in HALLS else INGRESS
+            word, kind = f"w{self._words}", "node" if target in ZONES else INGRESS
             command = Command(
-                "ask", target, HALLS.get(target, ""), word, "staff", self.rng.randrange(3), once=word, kind=kind,
+                "ask", target, ZONES.get(target, ""), word, "staff", self.rng.randrange(3), once=word, kind=kind,
                 length=self.rng.choice((0.0, 1_000.0)), warm=WARM if kind == "node" else 0.0,
             )  # fmt: skip
             self.wishes.append(Wish(word, target, command, regrets=self.rng.random() < 0.15))
@@ -255,7 +255,7 @@
             self._ask_leader(m, wish.command)
         elif wish.step == "ask" and mine is not None and wish.regrets:
             self._ask_leader(m, Command("withdraw", wish.target, once=f"{wish.word}/withdraw"))
-        elif wish.step == "ask" and mine is not None and wish.target not in HALLS:
+        elif wish.step == "ask" and mine is not None and wish.target not in ZONES:
             wish.step = "look"  # an ingress comes back by itself
         elif wish.step == "ask" and mine is not None and mine.state in HELD[2:]:
             busy = {n: o.out.get(wish.target, 0) for n, o in self.own.items()}
@@ -279,7 +279,7 @@
     # Faults of machines
 
     def _fail(self) -> None:
-        machine = self.rng.choice(sorted(HALLS))
+        machine = self.rng.choice(sorted(ZONES))
         self.failing.add(machine)
         self.at(self.rng.uniform(200, 4000), self.failing.discard, machine)
 
--- a/dockthread/work/host.py
+++ b/dockthread/work/host.py
@@ -181,21 +181,21 @@
     def _command(self, call: Command) -> words.Command | Answer:
         """What is to be agreed on, or the answer that says why not."""
         target, more, ask = call.target, call.more, call.verb is Verb.WORK_ASK
-        hall, ingress = self._ingress.destinations.hall(target), target in self.member.members
-        if ask and hall is None and not ingress:
+        zone, ingress = self._ingress.destinations.hall(target), target in self.member.members
+        if ask and zone is None and not ingress:
             return Answer(404, f"no backend {target} here, and no ingress of this name\n".encode())
         if not ask and target not in self.order.requests:
             return Answer(404, f"no work on {target} is asked for\n".encode())
         length = more.get("for", 0)
         if not isinstance(length, int | float) or not 0 <= length < 1e8:
             return Answer(400, b'"for" is no number of seconds\n')
-        node = hall is not None
+        node = zone is not None
         cold = self._ingress.config.module.safety.cold_time * 1000.0
         warm = cold if node else INGRESS_WARM * self._options.patience
         return words.Command(
             DOING[call.verb],  # type: ignore[arg-type]
             target,
-            hall or "",
+            zone or "",
             str(more.get("why", "")),
             self._ingress.config.name,
             more["urgency"] if isinstance(more.get("urgency"), int) else 0,
--- a/dockthread/work/order.py
+++ b/dockthread/work/order.py
@@ -19,8 +19,8 @@
 proposed twice counts once. A state's time counts from the tick after it, a silence from the tick that first
 missed the member. So what lapses by this clock lapses late, by a tick or where leaders change, and never early.
 
-A turn can be had where a majority sees the machine, nothing else of its hall is failing or pressed, the rest
-can carry the load, and fewer of its hall are away than the least `most` that any request of it names: where
+A turn can be had where a majority sees the machine, nothing else of its zone is failing or pressed, the rest
+can carry the load, and fewer of its zone are away than the least `most` that any request of it names: where
 files differ, the careful one holds. An ingress goes only where no other is silent or away. Among those that
 wait the more urgent goes first, then the older. A machine's name is the key: asked twice it is one request.
 
@@ -78,7 +78,7 @@
             if request is None:
                 c = command
                 self.requests[c.target] = Request(
-                    c.target, c.hall, c.why[:200], c.by, c.urgency, max(1, c.most), index,
+                    c.target, c.zone, c.why[:200], c.by, c.urgency, max(1, c.most), index,
                     kind=c.kind, length=c.length, warm=c.warm,
                 )  # fmt: skip
         elif request is not None:
@@ -154,9 +154,9 @@
 
     def _hindered(self, r: Request) -> str:
         """In words; empty where its turn can be had."""
-        away = [o for o in self.requests.values() if o.hall == r.hall and o.kind == r.kind and o.state != "waiting"]
-        if len(away) >= self.most(r.hall, r.kind):
-            where = "ingresses" if r.kind == INGRESS else r.hall or "no known hall"
+        away = [o for o in self.requests.values() if o.zone == r.zone and o.kind == r.kind and o.state != "waiting"]
+        if len(away) >= self.most(r.zone, r.kind):
+            where = "ingresses" if r.kind == INGRESS else r.zone or "no known zone"
             return f"{_listed(f'{o.target} of {where} is {_word(o)}' for o in away)}, and {len(away)} may be"
         if not r.looked:
             return "it is being looked at"
@@ -168,29 +168,29 @@
         return self._unsafe(r)
 
     def _unsafe(self, r: Request) -> str:
-        hall = next((h for h in self.last.halls if h.name == r.hall), None)
-        if hall is None:
-            return f"{r.hall or 'its hall'} is not seen by a majority"
-        away = {o.target for o in self.requests.values() if o.hall == r.hall and o.state != "waiting"}
-        if ailing := sorted(set(hall.ailing) - away - {r.target}):
-            return f"{_listed(ailing)} of {r.hall} fails"
-        if hall.pressed:
-            return f"requests wait too long in {r.hall}"
-        rest = hall.ready - (r.state == "waiting")  # what is on its way out is not ready any more
+        zone = next((h for h in self.last.zones if h.name == r.zone), None)
+        if zone is None:
+            return f"{r.zone or 'its zone'} is not seen by a majority"
+        away = {o.target for o in self.requests.values() if o.zone == r.zone and o.state != "waiting"}
+        if ailing := sorted(set(zone.ailing) - away - {r.target}):
+            return f"{_listed(ailing)} of {r.zone} fails"
+        if zone.pressed:
+            return f"requests wait too long in {r.zone}"
+        rest = zone.ready - (r.state == "waiting")  # what is on its way out is not ready any more
         most = 1 - self.last.reserve
-        if hall.load >= 0 and hall.load > most * rest:
-            share = hall.load / max(rest, 1)
-            return f"the rest of {r.hall} would carry {share:.2f} of what it bears, and {most:.2f} is most"
+        if zone.load >= 0 and zone.load > most * rest:
+            share = zone.load / max(rest, 1)
+            return f"the rest of {r.zone} would carry {share:.2f} of what it bears, and {most:.2f} is most"
         return ""
 
-    def out(self, hall: str, kind: str = "node") -> int:
+    def out(self, zone: str, kind: str = "node") -> int:
         """Away from service: from the grant until it is warm again."""
-        return sum(r.state != "waiting" and r.hall == hall and r.kind == kind for r in self.requests.values())
+        return sum(r.state != "waiting" and r.zone == zone and r.kind == kind for r in self.requests.values())
 
-    def most(self, hall: str, kind: str = "node") -> int:
+    def most(self, zone: str, kind: str = "node") -> int:
         if kind == INGRESS:
             return 1  # two might be all of a firm's set
-        return min((r.most for r in self.requests.values() if r.hall == hall and r.kind == kind), default=1)
+        return min((r.most for r in self.requests.values() if r.zone == zone and r.kind == kind), default=1)
 
     def held(self) -> dict[str, int]:
         """The nodes that every member keeps its requests away from, each with its grant's epoch."""
--- a/dockthread/work/part.py
+++ b/dockthread/work/part.py
@@ -32,7 +32,7 @@
 import msgspec
 
 from dockthread.work.order import HELD, TAKING, Order
-from dockthread.work.words import INGRESS, Command, Hall, Tick
+from dockthread.work.words import INGRESS, Command, Tick, Zone
 
 TICK, SLOW_TICK = 500.0, 5_000.0  # ms between ticks: while something moves; while all that is out stays out
 SAY_AGAIN = 1_500.0  # ms after which what the order does not show yet is said once more
@@ -41,9 +41,9 @@
 
 
 class Seen(msgspec.Struct, frozen=True, array_like=True):
-    """Of a hall, by one member: uids that serve, uids that fail by what it met, its own attempts out there."""
+    """Of a zone, by one member: uids that serve, uids that fail by what it met, its own attempts out there."""
 
-    hall: str
+    zone: str
     ready: tuple[str, ...]
     ailing: tuple[str, ...]
     out: float
@@ -51,9 +51,9 @@
 
 
 class View(msgspec.Struct, frozen=True, array_like=True):
-    """What one member shows of the halls in which something is asked for."""
+    """What one member shows of the zones in which something is asked for."""
 
-    halls: tuple[Seen, ...]
+    zones: tuple[Seen, ...]
     listed: tuple[str, ...]  # of the targets asked for, those that its list has
     since: int = 0  # the log's index of the latest request that it knew
 
@@ -151,8 +151,8 @@
         return any(r.state not in ("out", "overdue") for r in self.order.requests.values())
 
     def asked_for(self) -> dict[str, str]:
-        """Hall by node asked for, of which a view is to tell."""
-        return {r.target: r.hall for r in self.order.requests.values() if r.kind != INGRESS}
+        """Zone by node asked for, of which a view is to tell."""
+        return {r.target: r.zone for r in self.order.requests.values() if r.kind != INGRESS}
 
     def latest(self) -> int:
         """The log's index of the latest request."""
@@ -223,17 +223,17 @@
         if waits or now - self._ticked < least or now - self._proposed < least:
             return
         self._proposed = now
-        halls, seen = together(views, len(around.members), self.terms.bears) if enough else ((), ())
+        zones, seen = together(views, len(around.members), self.terms.bears) if enough else ((), ())
         alive = tuple(sorted({*around.heard, self.me}))
         acts.tick = Command("tick", by=self.me, tick=Tick(
             self.order.ticks + 1, min(now - self._ticked, 2 * pace), tuple(sorted(around.members)), alive,
-            halls, seen, self.terms.lapse, self.terms.dead, self.terms.reserve,
+            zones, seen, self.terms.lapse, self.terms.dead, self.terms.reserve,
         ))  # fmt: skip
 
 
-def together(views: Mapping[str, View], members: int, bears: float) -> tuple[tuple[Hall, ...], tuple[str, ...]]:
+def together(views: Mapping[str, View], members: int, bears: float) -> tuple[tuple[Zone, ...], tuple[str, ...]]:
     """What a majority sees. A node counts as ready where over half of the views have it so, as failing where a third
-    of the members met failures; a hall is pressed where a third of the views say so. One member alone, which
+    of the members met failures; a zone is pressed where a third of the views say so. One member alone, which
     may be ill itself, calls nothing failing in a fleet of over three."""
     some = max(1, (members + 1) // 3)
 
@@ -245,17 +245,17 @@
         return sorted(name for name, n in counts.items() if n >= count)
 
     seen = by(members // 2 + 1, (v.listed for v in views.values()))
-    by_hall: dict[str, list[Seen]] = {}
+    by_zone: dict[str, list[Seen]] = {}
     for view in views.values():
-        for one in view.halls:
-            by_hall.setdefault(one.hall, []).append(one)
-    halls = []
-    for name, told in sorted(by_hall.items()):
+        for one in view.zones:
+            by_zone.setdefault(one.zone, []).append(one)
+    zones = []
+    for name, told in sorted(by_zone.items()):
         if 2 * len(told) <= members:
             continue
         ready = len(by(members // 2 + 1, (s.ready for s in told)))
         out = sum(s.out for s in told) * members / len(told)  # who showed nothing is taken to send as much
         load = out / bears if bears else -1.0
         pressed = sum(s.pressed for s in told) >= some
-        halls.append(Hall(name, ready, tuple(by(some, (s.ailing for s in told))), load, pressed))
-    return tuple(halls), tuple(seen)
+        zones.append(Zone(name, ready, tuple(by(some, (s.ailing for s in told))), load, pressed))
+    return tuple(zones), tuple(seen)
--- a/dockthread/work/plan.py
+++ b/dockthread/work/plan.py
@@ -1,6 +1,6 @@
 """In what order a list of machines would go, offline: the order of work itself, told that all is well. No I/O.
 
-A list has a machine a line: its name, its hall, and, where it is more urgent than others, a number. `#` begins
+A list has a machine a line: its name, its zone, and, where it is more urgent than others, a number. `#` begins
 a comment.
 """
 
@@ -11,7 +11,7 @@
 import msgspec
 
 from dockthread.work.order import Order
-from dockthread.work.words import Command, Hall, Tick
+from dockthread.work.words import Command, Tick, Zone
 
 ALONE = "staff"  # the one member of a fleet that is only thought of
 
@@ -25,28 +25,28 @@
 
 
 def read(text: str, file: str) -> list[tuple[str, str, int]]:
-    """Name, hall and urgency of each. Raises ValueError with the line, what is wrong and what would do."""
+    """Name, zone and urgency of each. Raises ValueError with the line, what is wrong and what would do."""
     found: dict[str, tuple[str, str, int]] = {}
     for number, line in enumerate(text.splitlines(), 1):
         words = line.partition("#")[0].split()
         if not words:
             continue
         try:
-            name, hall, urgency = words[0], words[1], int(words[2]) if len(words) > 2 else 0
+            name, zone, urgency = words[0], words[1], int(words[2]) if len(words) > 2 else 0
         except (IndexError, ValueError) as error:
-            raise ValueError(f"{file}: line {number}: {line.strip()!r}; write MACHINE HALL [URGENCY]") from error
+            raise ValueError(f"{file}: line {number}: {line.strip()!r}; write MACHINE ZONE [URGENCY]") from error
         if len(words) > 3 or not -100 <= urgency <= 100:
-            raise ValueError(f"{file}: line {number}: {line.strip()!r}; write MACHINE HALL, a number of -100 to 100")
+            raise ValueError(f"{file}: line {number}: {line.strip()!r}; write MACHINE ZONE, a number of -100 to 100")
         if name in found:
             raise ValueError(f"{file}: line {number}: {name} stands twice; leave one")
-        found[name] = (name, hall, urgency)
+        found[name] = (name, zone, urgency)
     return list(found.values())
 
 
 def rounds(machines: list[tuple[str, str, int]], most_out: int) -> list[Round]:
     """All go, in as many rounds as it takes."""
     order, index, planned = Order(), 0, list[Round]()
-    halls = tuple(Hall(hall, len(machines)) for hall in sorted({hall for _, hall, _ in machines}))
+    zones = tuple(Zone(zone, len(machines)) for zone in sorted({zone for _, zone, _ in machines}))
     seen = tuple(name for name, _, _ in machines)
 
     def tell(command: Command) -> None:
@@ -55,10 +55,10 @@
         order.apply(index, msgspec.msgpack.encode(command))
 
     def tick() -> None:
-        tell(Command("tick", tick=Tick(order.ticks + 1, 500.0, (ALONE,), (ALONE,), halls, seen)))
+        tell(Command("tick", tick=Tick(order.ticks + 1, 500.0, (ALONE,), (ALONE,), zones, seen)))
 
-    for name, hall, urgency in machines:
-        tell(Command("ask", name, hall, urgency=urgency, most=most_out))
+    for name, zone, urgency in machines:
+        tell(Command("ask", name, zone, urgency=urgency, most=most_out))
     while order.requests:
         tick()
         held = order.held()
--- a/dockthread/work/sight.py
+++ b/dockthread/work/sight.py
@@ -1,4 +1,4 @@
-"""What an ingress sees of a hall, read off its destination set and its module. Decides nothing."""
+"""What an ingress sees of a zone, read off its destination set and its module. Decides nothing."""
 
 from __future__ import annotations
 
@@ -29,22 +29,22 @@
 
 
 def view(ingress: Ingress, targets: dict[str, str], since: int) -> View:
-    """`targets`: hall by node asked for; `since`: the latest request known. What is listed of them, and how their
-    halls stand."""
+    """`targets`: zone by node asked for; `since`: the latest request known. What is listed of them, and how their
+    zones stand."""
     gateway, destinations = ingress.gateway, ingress.destinations
     pressed = gateway.slow > PRESSED * gateway.tight
-    halls: dict[str, list[tuple[str, Worker]]] = {}
+    zones: dict[str, list[tuple[str, Worker]]] = {}
     for uid, worker in _listed(ingress):
-        halls.setdefault(destinations.hall(uid) or "", []).append((uid, worker))
+        zones.setdefault(destinations.hall(uid) or "", []).append((uid, worker))
     seen = tuple(
         Seen(
-            hall,
+            zone,
             tuple(uid for uid, w in nodes if w.ready),
             tuple(uid for uid, w in nodes if w.ready and w.failed > AILING),
             float(sum(w.out for _, w in nodes)),
             pressed,
         )
-        for hall in sorted(set(targets.values()))
-        if (nodes := halls.get(hall))
+        for zone in sorted(set(targets.values()))
+        if (nodes := zones.get(zone))
     )
     return View(seen, tuple(uid for uid in sorted(targets) if destinations.hall(uid) is not None), since)
--- a/dockthread/work/words.py
+++ b/dockthread/work/words.py
@@ -9,8 +9,8 @@
 NODE, INGRESS = "node", "ingress"
 
 
-class Hall(msgspec.Struct, frozen=True, array_like=True):
-    """What a majority of members sees of a hall together. `ready`: nodes that serve; `ailing`: those that fail;
+class Zone(msgspec.Struct, frozen=True, array_like=True):
+    """What a majority of members sees of a zone together. `ready`: nodes that serve; `ailing`: those that fail;
     `load`: what all have out there, in nodes that bear it; under 0 where nobody knows; `pressed`: requests wait too
     long."""
 
@@ -30,7 +30,7 @@
     elapsed: float = 0.0
     members: tuple[str, ...] = ()
     alive: tuple[str, ...] = ()
-    halls: tuple[Hall, ...] = ()
+    zones: tuple[Zone, ...] = ()
     seen: tuple[str, ...] = ()
     lapse: float = 30_000.0
     dead: float = 5_000.0
@@ -38,13 +38,13 @@
 
 
 class Command(msgspec.Struct, frozen=True, array_like=True):
-    """What is agreed on. `hall`: where the machine stands, as the ingress that was asked knew it; `by`: who says it;
+    """What is agreed on. `zone`: where the machine stands, as the ingress that was asked knew it; `by`: who says it;
     `length`, `warm`: ms that the work is to take, and that the machine needs after it; `epoch`: of the grant that is
     spoken of; `life`: of the ingress that is to go."""
 
     do: Literal["ask", "withdraw", "done", "held", "freed", "back", "tick"]
     target: str = ""
-    hall: str = ""
+    zone: str = ""
     why: str = ""
     by: str = ""
     urgency: int = 0
@@ -64,7 +64,7 @@
     was asked."""
 
     target: str
-    hall: str
+    zone: str
     why: str
     by: str
     urgency: int
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -31,7 +31,7 @@
     ("text", "wrong"),
     [
         ("[scenario]\ningresses = 4", "ingresses: is 4"),
-        ("[scenario]\nmachines = 0", "machines: is 0 in 1 halls"),
+        ("[scenario]\nmachines = 0", "machines: is 0 in 1 zones"),
         ("[scenario]\nlasts = 10ms", "lasts: is not from 1s"),
         ("[scenario]\nsteps =\n  soon ask m0", "'soon' is not a duration"),
         ("[scenario]\nsteps =\n  1s explode m0", "has no word 'explode'"),
@@ -73,7 +73,7 @@
     assert "ingresses: is 2" in CliRunner().invoke(lab, ["fleet", "run", str(tmp_path / "bad.ini")]).output
 
 
-def test_the_judge_sees_two_of_a_hall_and_what_comes_to_a_pulled_machine(tmp_path: Path) -> None:
+def test_the_judge_sees_two_of_a_zone_and_what_comes_to_a_pulled_machine(tmp_path: Path) -> None:
     async def scenario() -> None:
         one = Rehearsal(tmp_path, parse(SHORT, "f.ini"))
         one._rig = type("Rig", (), {"processes": {"n0": None, "n1": None}})()
@@ -84,7 +84,7 @@
         await use(one._nodes["m0"])
         await one._work_at("m1", ["n0"])  # n1 had not said that it holds it: what comes is not judged
         await first
-        assert sorted(b.rule for b in one._verdict.broken) == ["hall", "used"]
+        assert sorted(b.rule for b in one._verdict.broken) == ["used", "zone"]
         assert not any(node.pulled for node in one._nodes.values())
         for node in one._nodes.values():
             node.close()
--- a/tests/test_turns_simulated.py
+++ b/tests/test_turns_simulated.py
@@ -9,7 +9,7 @@
 from dockthread.lab.fleet.seeds import SCENARIOS, story
 from dockthread.lab.fleet.turns_plants import NAMES
 from dockthread.work.part import Acts, Around, Part, Seen, Terms, View, together
-from dockthread.work.words import INGRESS, Command, Hall, Tick
+from dockthread.work.words import INGRESS, Command, Tick, Zone
 
 MEMBERS = ("n0", "n1", "n2")
 FOUND = {
@@ -31,7 +31,7 @@
 
 
 def tick(number: int, elapsed: float = 500.0) -> bytes:
-    return data("tick", tick=Tick(number, elapsed, MEMBERS, MEMBERS, (Hall("a", 4),), ("x", "y"), 30_000.0, 5_000.0))
+    return data("tick", tick=Tick(number, elapsed, MEMBERS, MEMBERS, (Zone("a", 4),), ("x", "y"), 30_000.0, 5_000.0))
 
 
 def around(leader: str = "n0", idle: tuple[str, ...] = (), serving: bool = True) -> Around:
@@ -102,9 +102,9 @@
         return View((Seen("a", ready, ailing, out, pressed),), ("x",))
 
     three = {"n0": view(("x", "y")), "n1": view(("x", "y"), ("y",), True, 4.0), "n2": view(("x",))}
-    assert together(three, 5, 4.0) == ((Hall("a", 1, (), 8 * 5 / 3 / 4, False),), ("x",))
+    assert together(three, 5, 4.0) == ((Zone("a", 1, (), 8 * 5 / 3 / 4, False),), ("x",))
     both = {**three, "n3": view(("x", "y"), ("y",), True)}
-    assert together(both, 5, 0.0)[0] == (Hall("a", 2, ("y",), -1.0, True),)
+    assert together(both, 5, 0.0)[0] == (Zone("a", 2, ("y",), -1.0, True),)
     assert together({"n0": three["n0"], "n1": three["n1"]}, 5, 4.0) == ((), ())
 
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -19,13 +19,13 @@
 from dockthread.fleet.wire import COMMAND, Entry
 from dockthread.sections import read_text
 from dockthread.work.order import Order
-from dockthread.work.words import Command, Hall, Tick
+from dockthread.work.words import Command, Tick, Zone
 
 MEMBERS = ("n0", "n1", "n2")
 
 
-def said(do: str, target: str = "", hall: str = "a", **more: Any) -> bytes:
-    return msgspec.msgpack.encode(Command(do, target, hall, **more))  # type: ignore[arg-type]
+def said(do: str, target: str = "", zone: str = "a", **more: Any) -> bytes:
+    return msgspec.msgpack.encode(Command(do, target, zone, **more))  # type: ignore[arg-type]
 
 
 class Told:
@@ -34,14 +34,14 @@
     def __init__(self) -> None:
         self.order, self.index = Order(), 0
 
-    def do(self, do: str, target: str = "", hall: str = "a", **more: Any) -> str:
-        self.index, self.said = self.index + 1, said(do, target, hall, **more)
+    def do(self, do: str, target: str = "", zone: str = "a", **more: Any) -> str:
+        self.index, self.said = self.index + 1, said(do, target, zone, **more)
         self.order.apply(self.index, self.said)
         return self.state(target)
 
     def tick(self, elapsed: float = 500.0, alive: tuple[str, ...] = MEMBERS, **more: Any) -> None:
-        halls = (Hall("a", 6), Hall("b", 6))
-        known = {"halls": halls, "seen": tuple(self.order.requests), "lapse": 30_000.0, "dead": 5_000.0, **more}
+        zones = (Zone("a", 6), Zone("b", 6))
+        known = {"zones": zones, "seen": tuple(self.order.requests), "lapse": 30_000.0, "dead": 5_000.0, **more}
         self.do("tick", tick=Tick(self.order.ticks + 1, elapsed, MEMBERS, alive, **known))
 
     def state(self, target: str) -> str:
@@ -76,9 +76,9 @@
     assert (told.state("x"), told.state("y")) == ("done", "granted")
 
 
-def test_the_urgent_goes_first_then_the_older_and_halls_do_not_wait_for_each_other() -> None:
+def test_the_urgent_goes_first_then_the_older_and_zones_do_not_wait_for_each_other() -> None:
     told = Told()
-    for target, more in (("x", {}), ("old", {}), ("hot", {"urgency": 5}), ("other", {"hall": "b"})):
+    for target, more in (("x", {}), ("old", {}), ("hot", {"urgency": 5}), ("other", {"zone": "b"})):
         told.do("ask", target, **more)
     told.tick()
     assert set(told.order.held()) == {"hot", "other"}
@@ -114,30 +114,30 @@
 
 
 @pytest.mark.parametrize(
-    ("hall", "why"),
+    ("zone", "why"),
     [
-        ({"halls": (Hall("a", 6, ("z",)),)}, "z of a fails"),
-        ({"halls": (Hall("a", 6, pressed=True),)}, "requests wait too long in a"),
-        ({"halls": (Hall("a", 6, load=4.1),)}, "the rest of a would carry 0.82 of what it bears, and 0.80 is most"),
-        ({"halls": ()}, "a is not seen by a majority"),
+        ({"zones": (Zone("a", 6, ("z",)),)}, "z of a fails"),
+        ({"zones": (Zone("a", 6, pressed=True),)}, "requests wait too long in a"),
+        ({"zones": (Zone("a", 6, load=4.1),)}, "the rest of a would carry 0.82 of what it bears, and 0.80 is most"),
+        ({"zones": ()}, "a is not seen by a majority"),
         ({"seen": ()}, "fewer than half of the members see it"),
     ],
 )
 def test_nothing_goes_out_where_that_is_not_safe_and_what_has_not_gone_is_called_back(
-    hall: dict[str, Any], why: str
+    zone: dict[str, Any], why: str
 ) -> None:
     told = Told()
     told.do("ask", "x")
-    told.tick(**hall)
+    told.tick(**zone)
     assert (told.state("x"), told.reason("x")) == ("waiting", why)
     told.tick()
     assert told.all_say("held", "x", ("n0",)) == "draining"
-    if "seen" not in hall and "4.1" not in str(hall):  # seen once is enough; on its way out it is not ready any more
-        told.tick(**hall)
+    if "seen" not in zone and "4.1" not in str(zone):  # seen once is enough; on its way out it is not ready any more
+        told.tick(**zone)
         assert told.state("x") == "waiting" and f"called back, as {why}" in told.reason("x")
     told.tick()
     assert told.all_say("held", "x") == "out"
-    told.tick(**hall)
+    told.tick(**zone)
     assert told.state("x") == "out", "what is out stays out"
 
 
@@ -155,10 +155,10 @@
 
 def test_an_ingress_goes_by_its_own_word_alone_and_comes_back_in_another_life() -> None:
     told = Told()
-    told.do("ask", "n1", hall="", kind="ingress")
+    told.do("ask", "n1", zone="", kind="ingress")
     told.tick(alive=("n0", "n1"))
     assert told.reason("n1") == "n2 cannot be heard"
-    told.do("ask", "n2", hall="", kind="ingress")
+    told.do("ask", "n2", zone="", kind="ingress")
     told.tick()
     assert told.state("n1") == "granted" and told.reason("n2") == "n1 of ingresses is out, and 1 may be"
     epoch = told.order.requests["n1"].epoch
@@ -199,7 +199,7 @@
 
 
 @pytest.mark.parametrize("seed", range(200))
-def test_whatever_comes_no_hall_has_more_away_than_the_careful_say_and_all_members_agree(seed: int) -> None:
+def test_whatever_comes_no_zone_has_more_away_than_the_careful_say_and_all_members_agree(seed: int) -> None:
     rng, told, other = random.Random(seed), Told(), Order()
     away: set[str] = set()
     for step in range(150):
@@ -210,20 +210,20 @@
         else:
             known = told.order.requests.get(target)
             epoch = known.epoch if known and rng.random() < 0.9 else rng.randrange(150)
-            hall, most, by = "ab"[int(target[1:]) % 2], rng.randrange(1, 4), rng.choice(MEMBERS)
-            told.do(do, target, hall, by=by, epoch=epoch, urgency=rng.randrange(3), most=most)
+            zone, most, by = "ab"[int(target[1:]) % 2], rng.randrange(1, 4), rng.choice(MEMBERS)
+            told.do(do, target, zone, by=by, epoch=epoch, urgency=rng.randrange(3), most=most)
         if step == 75:  # one that comes back from a state goes on alike
             other.restore(told.order.packed())
         elif step > 75:
             other.apply(told.index, told.said)
             assert other.packed() == told.order.packed()
         now = {r.target: r for r in told.order.requests.values() if r.state != "waiting"}
-        for hall in "ab":
-            in_hall = [r for r in told.order.requests.values() if r.hall == hall]
-            new = {t for t, r in now.items() if r.hall == hall} - away
-            out = [r for r in in_hall if r.state != "waiting"]
+        for zone in "ab":
+            in_zone = [r for r in told.order.requests.values() if r.zone == zone]
+            new = {t for t, r in now.items() if r.zone == zone} - away
+            out = [r for r in in_zone if r.state != "waiting"]
             # One that is out stays out when a more careful request comes; none is let out beyond it.
-            assert not new or len(out) <= min(r.most for r in in_hall)
+            assert not new or len(out) <= min(r.most for r in in_zone)
         away = set(now)
 
 
@@ -362,7 +362,7 @@
 
 @pytest.mark.parametrize(
     ("text", "wrong"),
-    [("a1", "line 1: 'a1'; write MACHINE HALL"), ("a h x", "MACHINE HALL"), ("a h 1\na h", "line 2: a stands twice"),
+    [("a1", "line 1: 'a1'; write MACHINE ZONE"), ("a h x", "MACHINE ZONE"), ("a h 1\na h", "line 2: a stands twice"),
      ("a h 101", "of -100 to 100")],
 )  # fmt: skip
 def test_a_list_that_cannot_be_planned_is_refused_with_its_line(tmp_path: Path, text: str, wrong: str) -> None:
