Read the section [control] of the operator's file

Change: dockthread/distribution/options.py with role, addresses, key, cache and budgets, joined in sections.py, where a voter is checked against [fleet]. Off where absent.

--- /dev/null
+++ b/dockthread/distribution/options.py
@@ -0,0 +1,107 @@
+"""The section `[control]` of the operator's file. Without it nothing of the distribution is opened or loaded."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Literal
+
+from dockthread.distribution.messages import MOST_NAME
+from dockthread.operator_file.quantities import Duration, Size
+from dockthread.operator_file.reader import Section
+from dockthread.settings import Address
+from dockthread.telemetry.options import host_port
+
+LEAST_KEY, MOST_KEY = 16, 64  # bytes of the shared key
+LEAST_SAVE = 100.0  # ms between two writes of the cache
+LEAST_HEARTBEAT = 50.0  # ms
+ROLES = "ingress, distributor, voter"
+
+Fault = tuple[str, str, str]
+
+
+class ControlOptions(Section, frozen=True, kw_only=True):
+    """`role`: what this process is in the distribution; absent for none of it. `name`: of a voter, as in `[fleet]`
+    members, or of a distributor; an ingress has the platform's. `listen`: where a voter or distributor serves.
+    `servers`: HOST:PORT of those to receive from. `cache`: a directory for the last state in force. `cache_interval`:
+    least time between two writes of it. `most_connections`: what a server holds at once. `write_buffer`: bytes that
+    wait for one connection before its next message is asked for. `heartbeat`: between signs of life."""
+
+    role: Literal["ingress", "distributor", "voter"] | None = None
+    name: str = ""
+    listen: str = ""
+    servers: tuple[str, ...] = ()
+    region: str = ""
+    zone: str = ""
+    key_file: str = ""
+    cache: str = ""
+    cache_interval: Duration = Duration(10_000.0)
+    most_connections: int = 512
+    write_buffer: Size = Size(64 << 10)
+    heartbeat: Duration = Duration(1_000.0)
+
+    def faults(self) -> Iterable[Fault]:
+        if self.role is None:
+            if self.listen or self.servers or self.cache:
+                yield "role", "is missing", f"write one of {ROLES}"
+            return
+        yield from self._address_faults()
+        yield from self._name_faults()
+        yield from self._budget_faults()
+
+    def _address_faults(self) -> Iterable[Fault]:
+        if self.listen and host_port(self.listen) is None:
+            yield "listen", f"{self.listen!r} is no address", "write HOST:PORT"
+        if self.role == "ingress" and self.listen:
+            yield "listen", "is set, and an ingress serves no subscribers", "leave it out"
+        if self.role != "ingress" and not self.listen:
+            yield "listen", "is missing", f"write the address at which this {self.role} serves, HOST:PORT"
+        if self.role != "voter" and not self.servers:
+            yield "servers", "is missing", f"name those from which this {self.role} receives, HOST:PORT, ..."
+        if self.role == "voter" and self.servers:
+            yield "servers", "is set, and a voter receives by [fleet]", "leave it out"
+        for server in self.servers:
+            if host_port(server) is None:
+                yield "servers", f"{server!r} is no address", "write HOST:PORT"
+            elif self.servers.count(server) > 1:
+                yield "servers", f"names {server} twice", "name each once"
+                return
+
+    def _name_faults(self) -> Iterable[Fault]:
+        if self.role != "ingress" and not self.name:
+            yield "name", "is missing", f"write a name of this {self.role} that no other has"
+        for key in ("name", "region", "zone"):
+            value = getattr(self, key)
+            if len(value.encode()) > MOST_NAME or any(c.isspace() for c in value):
+                yield key, f"{value[:40]!r} is no name", f"write {MOST_NAME} bytes at most, without spaces"
+
+    def _budget_faults(self) -> Iterable[Fault]:
+        if self.cache_interval < LEAST_SAVE:
+            yield "cache_interval", f"{self.cache_interval} is too short", f"{LEAST_SAVE:g}ms at least; 10s is usual"
+        if not 1 <= self.most_connections <= 10_000:
+            yield "most_connections", f"{self.most_connections} is out of range", "1 to 10000"
+        if not 4 << 10 <= self.write_buffer <= 16 << 20:
+            yield "write_buffer", f"{self.write_buffer} is out of range", "4KiB to 16MiB"
+        if not LEAST_HEARTBEAT <= self.heartbeat <= 60_000.0:
+            yield "heartbeat", f"{self.heartbeat} is out of range", f"{LEAST_HEARTBEAT:g}ms to 1min"
+
+    def addresses(self) -> list[Address]:
+        """Of the servers, in the file's order."""
+        return [Address(*found) for server in self.servers if (found := host_port(server)) is not None]
+
+    def key(self) -> bytes:
+        """Raises ValueError where it cannot be read or has a wrong length."""
+        return read_key(self.key_file, "[control] key_file: ")
+
+
+def read_key(path: str, where: str = "") -> bytes:
+    """The key that all share; empty where no file is named. Raises ValueError with one plain line."""
+    if not path:
+        return b""
+    try:
+        key = Path(path).read_bytes().strip()
+    except OSError as error:
+        raise ValueError(f"{where}{path} cannot be read: {error.strerror}; name a file that can") from error
+    if not LEAST_KEY <= len(key) <= MOST_KEY:
+        raise ValueError(f"{where}{path} holds {len(key)} bytes; {LEAST_KEY} to {MOST_KEY} would do")
+    return key
--- a/dockthread/sections.py
+++ b/dockthread/sections.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from dockthread import api
+from dockthread.distribution.options import ControlOptions
 from dockthread.fleet.options import FleetOptions
 from dockthread.logs.options import LogOptions
 from dockthread.operator_file.reader import MOST_BYTES, Kind, Problem, Read, read
@@ -24,6 +25,7 @@
     "collectd": Kind(CollectdOptions, named=True),
     "route": Kind(RouteOptions, named=True),
     "fleet": Kind(FleetOptions),
+    "control": Kind(ControlOptions),
 }
 VARIABLE = "DOCKTHREAD_CONFIG"
 
@@ -41,9 +43,27 @@
         found.problems.append(
             Problem(file, f"collectd {name}", "", "has the name of a graphite receiver", "rename one")
         )
+    found.problems += _control_problems(file, found)
     return found
 
 
+def _control_problems(file: str, found: Read) -> list[Problem]:
+    """What `[control]` and `[fleet]` say against each other; nothing where either could not be read."""
+    if "control" not in found.sections or "fleet" not in found.sections:
+        return []
+    control, fleet = found.one("control"), found.one("fleet")
+    if control.role != "voter":
+        return []
+    if not fleet.listen:
+        return [
+            Problem(file, "control", "role", "is voter, and there is no [fleet]", "write [fleet] with all voters")
+        ]
+    if control.name not in fleet.addresses():
+        wrong = f"{control.name!r} is not among the members of [fleet]"
+        return [Problem(file, "control", "name", wrong, f"one of {', '.join(fleet.addresses())}")]
+    return []
+
+
 def read_file(path: str, settings: api.Settings | None = None, names: Names | None = None) -> Read:
     """All of a file, with all that is wrong with it. A file that cannot be read is one problem."""
     try:
--- /dev/null
+++ b/tests/test_control_options.py
@@ -0,0 +1,63 @@
+"""The section `[control]`: what is refused, with file, section, key, fault and what would do."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from dockthread.distribution.options import ControlOptions, read_key
+from dockthread.sections import read_text
+
+DISTRIBUTOR = "role = distributor\nname = d1\nlisten = 127.0.0.1:7000\nservers = 127.0.0.1:7001\n"
+VOTER = "role = voter\nname = v1\nlisten = 127.0.0.1:7000\n"
+FLEET = "[fleet]\nlisten = 127.0.0.1:1\nmembers = v1=127.0.0.1:1\ndirectory = /tmp\n"
+
+BAD = [
+    ("role = leader", "role: 'leader' is not one of ingress, distributor, voter"),
+    ("servers = 127.0.0.1:7001", "role: is missing; write one of ingress, distributor, voter"),
+    ("role = ingress", "servers: is missing; name those from which this ingress receives"),
+    ("role = ingress\nservers = here", "servers: 'here' is no address; write HOST:PORT"),
+    ("role = ingress\nservers = a:1, a:1", "servers: names a:1 twice; name each once"),
+    ("role = ingress\nservers = a:1\nlisten = a:2", "listen: is set, and an ingress serves no subscribers"),
+    ("role = ingress\nservers = a:1\nzone = a b", "zone: 'a b' is no name; write 128 bytes at most"),
+    ("role = distributor\nname = d1\nservers = a:1", "listen: is missing; write the address"),
+    ("role = distributor\nlisten = a:2\nservers = a:1", "name: is missing; write a name of this distributor"),
+    (DISTRIBUTOR + "most_connections = 0", "most_connections: 0 is out of range; 1 to 10000"),
+    (DISTRIBUTOR + "write_buffer = 1KiB", "write_buffer: 1KiB is out of range; 4KiB to 16MiB"),
+    (DISTRIBUTOR + "heartbeat = 1ms", "heartbeat: 1ms is out of range; 50ms to 1min"),
+    (DISTRIBUTOR + "cache_interval = 1ms", "cache_interval: 1ms is too short; 100ms at least"),
+    (VOTER, "role: is voter, and there is no [fleet]; write [fleet] with all voters"),
+    (VOTER + "servers = a:1", "servers: is set, and a voter receives by [fleet]; leave it out"),
+    (VOTER.replace("v1", "v9") + FLEET, "name: 'v9' is not among the members of [fleet]; one of v1"),
+    (DISTRIBUTOR + "lisen = a:1", "lisen: is no key of this section; did you mean listen?"),
+]
+
+
+@pytest.mark.parametrize(("text", "said"), BAD)
+def test_a_bad_section_is_refused_with_its_reason(text: str, said: str) -> None:
+    problems = read_text(f"[control]\n{text}\n", "my.ini").problems
+    assert any(str(p).startswith("my.ini: [control] ") and said in str(p) for p in problems), problems
+
+
+@pytest.mark.parametrize("text", ["", "[control]\n" + DISTRIBUTOR, "[control]\n" + VOTER + FLEET])
+def test_a_good_one_has_no_problem(text: str) -> None:
+    assert read_text(text, "my.ini").problems == []
+
+
+def test_it_is_off_where_it_is_absent() -> None:
+    assert read_text("", "my.ini").one("control") == ControlOptions(role=None)
+    code = "import sys, dockthread.serve, dockthread.sections as s; s.read_text('', 'f')\n"
+    code += "print([m for m in sys.modules if m.startswith('dockthread.distribution.')])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=30)
+    assert done.stdout.strip() == str(["dockthread.distribution.messages", "dockthread.distribution.options"])
+
+
+def test_a_key_is_refused_with_its_file_and_length(tmp_path: Path) -> None:
+    (tmp_path / "key").write_bytes(b"short\n")
+    with pytest.raises(ValueError, match="key holds 5 bytes; 16 to 64 would do"):
+        read_key(str(tmp_path / "key"))
+    with pytest.raises(ValueError, match="cannot be read: No such file"):
+        read_key(str(tmp_path / "none"))
