Send a large state of the agreed log in parts and keep it on disk

Cause: a state of 90,000 resources has some 45 MB; a frame of the agreed log held 1 MiB and a record on disk 16 MiB, so a member that was away could never come back, and a start would have taken its own file for spoilt. Change: fleet/link.py sends an Install in parts of 256 KiB between other frames, and an empty Append in place of a state that is under way; frames hold 8 MiB (64 entries of 64 KiB), records a whole state; a large state is written more seldom.

--- /dev/null
+++ b/dockthread/fleet/link.py
@@ -0,0 +1,86 @@
+"""Frames to one other member: a bounded queue, and beside it a state in parts.
+
+Theory of operation. The agreement sends the whole state to a member that is too far behind, anew at each beat until
+it is answered. A state of 90,000 resources has tens of megabytes: in one frame it would hold up every sign of life
+behind it, and a queue of such frames would fill the memory. So a state is cut into parts, sent only while no other
+frame waits and one at a time; while it is under way, and for `REPEAT` after it, a beat that would send it again sends
+an empty `Append` behind the state's last entry instead. The receiver answers that one like any other, so that both
+know of each other meanwhile; it is answered with yes once the state has arrived.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import deque
+from collections.abc import Iterator
+
+from dockthread.fleet import wire
+from dockthread.settings import Address
+
+MOST_WAITING = 256  # frames to one member
+PAUSE = 200.0  # ms before a broken connection is opened again, give or take half
+REPEAT = 5.0  # s after a state was sent before the same one is sent again
+CONNECTING, DRAINING = 2.0, 5.0  # s
+
+
+class Link:
+    """Frames to one other member."""
+
+    def __init__(self, to: Address, rng: random.Random, key: bytes) -> None:
+        self._to, self._rng, self._key = to, rng, key
+        self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
+        self._parts: Iterator[bytes] | None = None  # of the state that is under way
+        self._state: tuple[int, int] = (0, 0)  # term and last entry of the state that was sent last
+        self._sent = -REPEAT  # when its last part was written
+        self._some = asyncio.Event()
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, message: wire.Message) -> None:
+        if isinstance(message, wire.Install) and len(message.state) > wire.PART:
+            self._send_state(message)
+        else:
+            self._waiting.append(wire.pack(message, self._key))
+        self._some.set()
+
+    def _send_state(self, m: wire.Install) -> None:
+        same = (m.term, m.last) == self._state and time.monotonic() - self._sent < REPEAT
+        if self._parts is not None or same:
+            beat = wire.Append(m.term, m.sender, m.last, m.last_term, (), 0, m.round)
+            self._waiting.append(wire.pack(beat, self._key))
+        else:
+            self._state = m.term, m.last
+            self._parts = wire.cut(m, self._key)
+
+    async def _run(self) -> None:
+        while True:
+            await self._some.wait()
+            writer = None
+            try:
+                async with asyncio.timeout(CONNECTING):
+                    _, writer = await asyncio.open_connection(self._to.host, self._to.port)
+                while True:
+                    await self._some.wait()
+                    self._some.clear()
+                    await self._write(writer)
+            except (OSError, TimeoutError):
+                self._waiting.clear()  # old by the time it could be sent
+                self._parts, self._state = None, (0, 0)
+                await asyncio.sleep(PAUSE * self._rng.uniform(0.5, 1.5) / 1000.0)
+            finally:
+                if writer is not None:
+                    writer.close()
+
+    async def _write(self, writer: asyncio.StreamWriter) -> None:
+        """All that waits, then parts of a state as long as nothing else waits."""
+        while self._waiting or self._parts is not None:
+            while self._waiting:
+                writer.write(self._waiting.popleft())
+            if self._parts is not None:
+                if (part := next(self._parts, None)) is None:
+                    self._parts, self._sent = None, time.monotonic()
+                else:
+                    writer.write(part)
+            async with asyncio.timeout(DRAINING):
+                await writer.drain()
--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -1,9 +1,9 @@
 """One ingress among the others, on sockets: the rim round the agreement. Decides nothing.
 
-Theory of operation. Messages leave on one TCP connection to each other member, opened when there is something to
-send and again after a pause when it broke; a queue of `MOST_WAITING` frames stands before it, and what does not fit
-is let go, as the agreement sends again whatever matters. What comes in is read from connections that others opened;
-a frame that is spoilt is counted and closes its connection. The agreement's actions are carried out one after
+Theory of operation. Messages leave on one TCP connection to each other member (link.py), opened when there is
+something to send and again after a pause when it broke; a bounded queue of frames stands before it, and what does not
+fit is let go, as the agreement sends again whatever matters. What comes in is read from connections that others
+opened; a frame that is spoilt is counted and closes its connection. The agreement's actions are carried out one after
 another by one task, and a write to disk is made in a thread that does nothing else, so that requests go on
 meanwhile and no message leaves before what it rests on is kept.
 """
@@ -33,52 +33,17 @@
     Times,
 )
 from dockthread.fleet.agreement import Agreement
+from dockthread.fleet.link import Link
 from dockthread.fleet.options import FleetOptions
 from dockthread.fleet.store import Store
 from dockthread.settings import Address
 
-MOST_WAITING = 256  # frames to one member
-PAUSE = 200.0  # ms before a broken connection is opened again, give or take half
 KEEP_ENTRIES = 512  # applied entries in the log before a state takes their place
+STATE_AN_ENTRY = 1 << 10  # bytes of the state before for each further entry: a large one is written more seldom
 RETRY = 50.0  # ms between tries while nobody leads
 HANDING = 300.0  # ms that a leader waits for another at the end of its life
 
 
-class Link:
-    """Frames to one other member."""
-
-    def __init__(self, to: Address, rng: random.Random) -> None:
-        self._to, self._rng = to, rng
-        self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
-        self._some = asyncio.Event()
-        self.task = asyncio.get_running_loop().create_task(self._run())
-
-    def send(self, frame: bytes) -> None:
-        self._waiting.append(frame)
-        self._some.set()
-
-    async def _run(self) -> None:
-        while True:
-            await self._some.wait()
-            writer = None
-            try:
-                async with asyncio.timeout(2.0):
-                    _, writer = await asyncio.open_connection(self._to.host, self._to.port)
-                while True:
-                    await self._some.wait()
-                    self._some.clear()
-                    while self._waiting:
-                        writer.write(self._waiting.popleft())
-                    async with asyncio.timeout(5.0):
-                        await writer.drain()
-            except (OSError, TimeoutError):
-                self._waiting.clear()  # old by the time it could be sent
-                await asyncio.sleep(PAUSE * self._rng.uniform(0.5, 1.5) / 1000.0)
-            finally:
-                if writer is not None:
-                    writer.close()
-
-
 class Owner(Protocol):
     """Whose log it is, and what it is told."""
 
@@ -149,7 +114,7 @@
             self._owner.restore(stored.base, stored.state)
             self._came_to(stored.base, 0)
         self._agreement = Agreement(self.name, self._addresses, stored, self._times, self._rng, self._clock.now())
-        self._links = {n: Link(a, self._rng) for n, a in self._addresses.items() if n != self.name}
+        self._links = {n: Link(a, self._rng, self._key) for n, a in self._addresses.items() if n != self.name}
         self.opened = True
         self._tasks = [self._loop.create_task(self._carry_out())]
         self._arm()
@@ -201,7 +166,7 @@
         self._token += 1
         token = self._token
         self._asked[token] = future
-        self._links[core.leader].send(wire.pack(wire.Ask(core.term, self.name, token, data), self._key))
+        self._links[core.leader].send(wire.Ask(core.term, self.name, token, data))
         try:
             return await future
         finally:
@@ -218,7 +183,7 @@
     async def _propose_for(self, ask: wire.Ask) -> None:
         index = await self._try(ask.data) if self._agreement.role is Role.LEADER else 0
         if link := self._links.get(ask.sender):
-            link.send(wire.pack(wire.Told(self._agreement.term, self.name, ask.token, index), self._key))
+            link.send(wire.Told(self._agreement.term, self.name, ask.token, index))
 
     # What its owner asks of it
 
@@ -245,7 +210,7 @@
         if self.leader == self.name:
             self._shown(message)
         elif link := self._links.get(self.leader):
-            link.send(wire.pack(message, self._key))
+            link.send(message)
 
     def _shown(self, message: wire.Show) -> None:
         if self.leader == self.name:
@@ -287,6 +252,7 @@
         self._arm()
 
     async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        assembly = wire.Assembly()
         try:
             while True:
                 head = await reader.readexactly(wire.HEAD.size)
@@ -297,7 +263,11 @@
                     self.spoilt += 1
                     logger.debug("fleet: a message is dropped: {}", error)
                     continue
-                if isinstance(message, wire.Show):
+                if isinstance(message, wire.Part):
+                    if (whole := assembly.add(message)) is not None:
+                        self._do(self._agreement.heard(self._clock.now(), whole))
+                        self._arm()
+                elif isinstance(message, wire.Show):
                     self._shown(message)
                 elif isinstance(message, wire.Ask):
                     task = self._loop.create_task(self._propose_for(message))
@@ -335,7 +305,7 @@
                         await self._loop.run_in_executor(self._keeper, self.store.keep, action)
                     case Send(to, message):
                         if link := self._links.get(to):
-                            link.send(wire.pack(message, self._key))
+                            link.send(message)
                     case Apply(index, entry):
                         self._applied(index, entry)
                     case Restore(index, state):
@@ -376,5 +346,6 @@
             if not future.done():
                 future.set_result(index if term == entry.term else 0)
         core = self._agreement
-        if core.applied == index and index - core.log.base >= KEEP_ENTRIES:
+        most = max(KEEP_ENTRIES, len(core.log.state) // STATE_AN_ENTRY)
+        if core.applied == index and index - core.log.base >= most:
             self._do(core.compact(index, self._owner.state()))
--- a/dockthread/fleet/store.py
+++ b/dockthread/fleet/store.py
@@ -21,11 +21,11 @@
 import msgspec
 
 from dockthread.fleet.actions import Keep, KeepState, Stored
-from dockthread.fleet.wire import Entry
+from dockthread.fleet.wire import MOST_STATE, Entry
 
 SUM: Final = 16
 RECORD: Final = struct.Struct(f"<I{SUM}s")
-MOST_RECORD: Final = 1 << 24
+MOST_RECORD: Final = MOST_STATE + (64 << 20)  # bytes: a whole state, or all entries behind one, with room
 AFTER_LOSS: Final = "give the ingress a new name and `dockthread fleet init` a new folder"
 
 
--- a/dockthread/fleet/wire.py
+++ b/dockthread/fleet/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
@@ -9,7 +10,9 @@
 from dockthread.frames import HEAD, Codec, MalformedFrame, UnknownMessage
 
 VERSION: Final = 1
-MOST_FRAME: Final = 1 << 20  # bytes of a message
+MOST_FRAME: Final = 8 << 20  # bytes of a message: 64 entries of 64 KiB bodies, as one `Append` may hold, and room
+PART: Final = 256 << 10  # bytes of a state in one frame; a larger one goes in parts
+MOST_STATE: Final = 256 << 20  # bytes of a state: some five times that of 90,000 resources
 
 __all__ = ["HEAD", "MalformedFrame", "UnknownMessage"]
 
@@ -75,6 +78,15 @@
     round: int
 
 
+class Part(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Part `number`, from 0, of an `Install` whose state has `size` bytes: its head is that of the message itself."""
+
+    head: Install
+    number: int
+    size: int
+    data: bytes
+
+
 class TakeOver(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     term: int
     sender: str
@@ -107,6 +119,37 @@
 
 
 Message = VoteAsk | VoteAnswer | Append | Appended | Install | TakeOver | Ask | Told | Show
+Frame = Message | Part
 
-_codec: Codec[Message] = Codec(Message, VERSION, MOST_FRAME)
+_codec: Codec[Frame] = Codec(Frame, VERSION, MOST_FRAME)
 pack, length, unpack = _codec.pack, _codec.length, _codec.unpack
+
+
+def cut(whole: Install, key: bytes) -> Iterator[bytes]:
+    """The frames of a state in parts."""
+    head = msgspec.structs.replace(whole, state=b"")
+    for number, at in enumerate(range(0, len(whole.state), PART)):
+        yield pack(Part(head, number, len(whole.state), whole.state[at : at + PART]), key)
+
+
+class Assembly:
+    """Parts of one connection, joined to the message that they were cut from."""
+
+    def __init__(self) -> None:
+        self._head: Install | None = None
+        self._size, self._state = 0, bytearray()
+
+    def add(self, part: Part) -> Install | None:
+        """The message once its last part is there. Raises `MalformedFrame` for parts that don't follow each other."""
+        if part.number == 0:
+            self._head, self._size, self._state = part.head, part.size, bytearray()
+        at = part.number * PART
+        follows = self._head == part.head and self._size == part.size and len(self._state) == at
+        if not follows or len(part.data) != min(PART, part.size - at) or not part.size <= MOST_STATE:
+            raise MalformedFrame(f"part {part.number} of a state of {part.size} bytes does not follow {at}")
+        self._state += part.data
+        if len(self._state) < self._size:
+            return None
+        whole = msgspec.structs.replace(part.head, state=bytes(self._state))
+        self._head, self._state = None, bytearray()
+        return whole
