--- a/dockthread/distribution/messages.py
+++ b/dockthread/distribution/messages.py
@@ -45,7 +45,8 @@
 
     After it the receiver holds the latest of every key whose last change is at or before `revision`. `snapshot`: the
     first part of a snapshot, so whatever is held and not named from here up to the complete part is gone. `complete`:
-    the sender had nothing newer; only then `digest` is that of its whole table, and `snapshot` parts take effect.
+    the receiver then holds the sender's table as it stood at `revision`; only then `digest` is that of this table and
+    `snapshot` parts take effect. `horizon`, of a complete snapshot: deletes behind it are named in the snapshot.
     """
 
     epoch: str
@@ -54,6 +55,7 @@
     snapshot: bool = False
     complete: bool = True
     digest: bytes = NO_DIGEST
+    horizon: int = 0
 
 
 class Rejection(msgspec.Struct, frozen=True, array_like=True):
