--- /dev/null
+++ b/dockthread/distribution/cache.py
@@ -0,0 +1,258 @@
+"""The last state in force, in a file: for a start with every server down.
+
+Theory of operation. The file holds records, each with its length and a BLAKE2 sum: resources, and after each batch a
+commit that tells epoch, revision and digest of the whole. A change is appended, at the cost of its own size; a new
+history, or a file that has grown to a multiple of its state, is written anew beside and renamed into place. Records
+are written in slices, one a turn of the loop, and begun at most once in `interval`; nothing is synced to the disk, as
+sums and digest tell whatever a crash of the machine leaves. At a start what stands behind the last commit is cut off;
+any other fault drops the file.
+
+Where the owner refused a resource, a commit also names the one that it kept in its place.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import struct
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from hashlib import blake2b
+from pathlib import Path
+from typing import Final
+from urllib.parse import quote
+
+import msgspec
+from loguru import logger
+
+from dockthread.distribution.messages import Resource
+from dockthread.distribution.resources import OutOfOrder, ResourceTable
+
+VERSION: Final = 1
+SUM: Final = 16  # bytes
+RECORD: Final = struct.Struct(f"<I{SUM}s")
+MOST_FILE: Final = 512 << 20  # bytes
+SLICE: Final = 256 << 10  # bytes of resources in one record
+HURRY: Final = 1 << 20  # bytes that wait, from which on no interval is waited for
+LEAST_REWRITE: Final = 4 << 20  # bytes appended before a file is written anew
+GROWTH: Final = 2  # times its state to which a file may grow
+
+
+class Head(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    version: int
+    name: str
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    resources: tuple[Resource, ...]
+
+
+class Commit(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """All before it is a state. `kept`: what is in force in place of resources that were refused."""
+
+    epoch: str
+    revision: int
+    digest: bytes
+    kept: tuple[Resource, ...] = ()
+
+
+Record = Head | Part | Commit
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
+
+
+class BrokenCache(Exception):
+    """A file that holds no state of this program; the text says why."""
+
+
+@dataclass(slots=True)
+class Cached:
+    """A state as it was read. `size`: bytes of the file up to its last commit."""
+
+    table: ResourceTable
+    kept: tuple[Resource, ...]
+    size: int
+
+
+def read(path: Path, name: str) -> Cached | None:
+    """The last state in a file; None where there is no file. Raises `BrokenCache`."""
+    try:
+        with path.open("rb") as file:
+            data = file.read(MOST_FILE + 1)
+    except FileNotFoundError:
+        return None
+    except OSError as error:
+        raise BrokenCache(f"cannot be read: {error.strerror}") from error
+    if len(data) > MOST_FILE:
+        raise BrokenCache(f"holds more than {MOST_FILE} bytes")
+    held: dict[tuple[str, str], Resource] = {}
+    pending: list[Resource] = []
+    last, size = None, 0
+    for number, (record, end) in enumerate(_records(data)):
+        if number == 0 and record != Head(VERSION, name):
+            raise BrokenCache(f"is not that of {name} in version {VERSION}")
+        if isinstance(record, Part):
+            pending += record.resources
+        elif isinstance(record, Commit):
+            held.update(((one.kind, one.name), one) for one in pending)
+            pending, last, size = [], record, end
+    if last is None:
+        raise BrokenCache("holds no whole state")
+    return Cached(_table(last, held.values()), last.kept, size)
+
+
+def _records(data: bytes) -> Iterable[tuple[Record, int]]:
+    """Records and where each ends. One cut short at the end is passed over."""
+    at = 0
+    while at + RECORD.size <= len(data):
+        size, told = RECORD.unpack_from(data, at)
+        end = at + RECORD.size + size
+        if end > len(data):
+            return
+        body = data[at + RECORD.size : end]
+        if blake2b(body, digest_size=SUM).digest() != told:
+            raise BrokenCache(f"has a wrong sum at byte {at}")
+        try:
+            yield _decoder.decode(body), end
+        except msgspec.MsgspecError as error:
+            raise BrokenCache(f"holds no record at byte {at}: {error}") from error
+        at = end
+
+
+def _table(last: Commit, held: Iterable[Resource]) -> ResourceTable:
+    """Without tombstones, so that whoever receives from it is told of no delete before `last`."""
+    table = ResourceTable()
+    live = sorted((one for one in held if one.body is not None), key=lambda one: one.revision)
+    try:
+        table.load(last.epoch, last.revision, last.revision, live)
+    except OutOfOrder as error:
+        raise BrokenCache(f"holds two of one revision: {error}") from error
+    if table.digest != last.digest:
+        raise BrokenCache(f"has another digest than it tells at revision {last.revision}")
+    return table
+
+
+class Cache:
+    """One subscriber's file in `directory`. `interval`: least ms between the starts of two writes."""
+
+    def __init__(self, directory: Path, name: str, interval: float) -> None:
+        self.path = directory / f"{quote(name, safe='')}.cache"
+        self._name, self._interval = name, interval / 1000.0
+        self._queue: deque[Resource | Commit] = deque()
+        self._waiting = 0  # bytes in it
+        self._epoch = ""  # of the file
+        self._state = self._appended = 0  # bytes of the file when it was begun, and since
+        self._file: int | None = None
+        self._beside: Path | None = None  # the file that is being written, until its first commit
+        self._alarm: asyncio.Handle | None = None
+        self._began = float("-inf")
+        self._failed = False
+
+    def load(self) -> Cached | None:
+        """What stands there; a broken file is dropped with one line in the log."""
+        try:
+            found = read(self.path, self._name)
+        except BrokenCache as error:
+            logger.warning("control: {} is dropped: it {}", self.path, error)
+            self.path.unlink(missing_ok=True)
+            return None
+        if found is not None:
+            try:
+                os.truncate(self.path, found.size)
+                self._file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+                self._epoch, self._state = found.table.epoch, found.size
+            except OSError as error:
+                self._fail(error)
+        return found
+
+    def save(self, table: ResourceTable, changes: Iterable[Resource], kept: tuple[Resource, ...]) -> None:
+        """`table` after `changes`, which are all since the last call."""
+        whole = self._epoch != table.epoch or self._file is None
+        if whole or self._appended > max(LEAST_REWRITE, GROWTH * self._state):
+            self._begin(table.epoch)
+            changes = table.live()
+        for one in changes:
+            self._queue.append(one)
+            self._waiting += len(one.body or b"") + len(one.name)
+        self._queue.append(Commit(table.epoch, table.revision, table.digest, kept))
+        if self._alarm is None:
+            loop = asyncio.get_running_loop()
+            due = 0.0 if self._waiting > HURRY else self._began + self._interval - loop.time()
+            self._alarm = loop.call_later(max(0.0, due), self._turn)
+
+    def close(self) -> None:
+        """Write all that waits."""
+        if self._alarm is not None:
+            self._alarm.cancel()
+        while self._queue and self._write_slice():
+            pass
+        self._close_file()
+
+    def _begin(self, epoch: str) -> None:
+        self._close_file()
+        self._queue.clear()
+        self._epoch, self._waiting, self._state, self._appended = epoch, 0, 0, 0
+        self._beside = self.path.with_suffix(".new")
+        try:
+            self._beside.parent.mkdir(parents=True, exist_ok=True)
+            self._file = os.open(self._beside, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+            self._write(Head(VERSION, self._name))
+        except OSError as error:
+            self._fail(error)
+
+    def _turn(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._began, self._alarm = loop.time(), None
+        if self._write_slice() and self._queue:
+            self._alarm = loop.call_soon(self._turn)
+
+    def _write_slice(self) -> bool:
+        """One record of resources, and the commits behind it. False where it cannot be written."""
+        taken: list[Resource] = []
+        room = SLICE
+        while self._queue and room > 0 and isinstance(one := self._queue[0], Resource):
+            self._queue.popleft()
+            taken.append(one)
+            room -= len(one.body or b"") + len(one.name)
+        self._waiting -= SLICE - room
+        try:
+            if taken:
+                self._write(Part(tuple(taken)))
+            if self._queue and isinstance(commit := self._queue[0], Commit):
+                self._queue.popleft()
+                self._write(commit)
+                self._put_in_place()
+        except OSError as error:
+            self._fail(error)
+            return False
+        self._failed = False
+        return True
+
+    def _write(self, record: Record) -> None:
+        body = _encoder.encode(record)
+        data = RECORD.pack(len(body), blake2b(body, digest_size=SUM).digest()) + body
+        if self._file is None:
+            raise OSError(0, "no file is open")
+        self._appended += len(data)
+        while data:
+            data = data[os.write(self._file, data) :]
+
+    def _put_in_place(self) -> None:
+        if self._beside is not None:
+            os.replace(self._beside, self.path)
+            self._beside = None
+            self._state, self._appended = self._appended, 0
+
+    def _fail(self, error: OSError) -> None:
+        """The next change begins a new file; the old one, if any, stays whole up to its last commit."""
+        if not self._failed:
+            logger.warning("control: {} cannot be written: {}", self.path, error.strerror)
+        self._failed, self._waiting = True, 0
+        self._queue.clear()
+        self._close_file()
+
+    def _close_file(self) -> None:
+        if self._file is not None:
+            os.close(self._file)
+        self._file = None
--- a/dockthread/distribution/messages.py
+++ b/dockthread/distribution/messages.py
@@ -140,6 +140,34 @@
     subscribers: tuple[SubscriberStatus, ...]
 
 
-Message = Subscribe | Update | Acknowledge | Heartbeat | RetryLater | Publish | Published | StatusRequest | Status
+class Lookup(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """What is held of a kind: the resource `name`, or, where that is empty, those whose names come behind `after`."""
+
+    kind: str
+    name: str = ""
+    after: str = ""
+
+
+class Found(msgspec.Struct, frozen=True, array_like=True, tag="f"):
+    """Live resources by name. `more`: there may be others behind the last of them."""
+
+    revision: int
+    resources: tuple[Resource, ...]
+    more: bool = False
+
+
+Message = (
+    Subscribe
+    | Update
+    | Acknowledge
+    | Heartbeat
+    | RetryLater
+    | Publish
+    | Published
+    | StatusRequest
+    | Status
+    | Lookup
+    | Found
+)
 
 codec: Codec[Message] = Codec(Message, VERSION, MOST_FRAME)
--- /dev/null
+++ b/dockthread/distribution/stream.py
@@ -0,0 +1,111 @@
+"""One connection that carries frames of the distribution: bounded reading, and writing that can be held back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from dockthread.distribution.messages import MOST_FRAME, Message, codec
+from dockthread.frames import HEAD, MalformedFrame
+
+
+class FrameStream(asyncio.Protocol):
+    """Cuts what arrives into messages. `most`: bytes that a message of the other side may have.
+
+    What is malformed ends the connection, after `malformed` was told of it; nothing of it is read any more.
+    """
+
+    def __init__(self, key: bytes, most: int = MOST_FRAME) -> None:
+        self._key, self._most = key, most
+        self._buffer = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.writable = True  # the transport's buffer is low
+
+    # For whoever carries it
+
+    def opened(self) -> None:
+        """The connection stands."""
+
+    def heard(self, message: Message) -> None:
+        """A whole message."""
+
+    def malformed(self, reason: str) -> None:
+        """Bytes that are no message, or too many; the connection ends."""
+
+    def ended(self, reason: str) -> None:
+        """The connection is gone, whoever ended it."""
+
+    def may_write(self) -> None:
+        """The transport's buffer is low again."""
+
+    def send(self, message: Message) -> None:
+        self.write(codec.pack(message, self._key))
+
+    def write(self, frame: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(frame)
+
+    @property
+    def is_closing(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def hold_reading(self) -> None:
+        if self.transport is not None and not self.is_closing and self.transport.is_reading():
+            self.transport.pause_reading()
+
+    def read_on(self) -> None:
+        if self.transport is not None and not self.is_closing and not self.transport.is_reading():
+            self.transport.resume_reading()
+
+    def close(self) -> None:
+        """What was written still leaves."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    # What asyncio tells
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]  # uvloop's own class
+        self.opened()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._buffer.clear()
+        self.ended(str(error) if error is not None else "closed")
+
+    def pause_writing(self) -> None:
+        self.writable = False
+
+    def resume_writing(self) -> None:
+        self.writable = True
+        self.may_write()
+
+    def data_received(self, data: bytes) -> None:
+        if self.is_closing:
+            return
+        self._buffer += data
+        try:
+            self._cut()
+        except MalformedFrame as error:
+            self._buffer.clear()
+            self.malformed(str(error))
+            self.abort()
+
+    def _cut(self) -> None:
+        """All whole messages. Raises `MalformedFrame`; a message too large is refused by its head alone."""
+        at, buffer = 0, self._buffer
+        while len(buffer) - at >= HEAD.size:
+            head = bytes(buffer[at : at + HEAD.size])
+            size = codec.length(head)
+            if size > self._most:
+                raise MalformedFrame(f"{size} bytes, and {self._most} are the most here")
+            if len(buffer) - at < HEAD.size + size:
+                break
+            body = bytes(buffer[at + HEAD.size : at + HEAD.size + size])
+            at += HEAD.size + size
+            self.heard(codec.unpack(head, body, self._key))
+            if self.is_closing:
+                return
+        del buffer[:at]
--- /dev/null
+++ b/dockthread/distribution/voter.py
@@ -0,0 +1,95 @@
+"""A voter: takes changes into the agreed log (`fleet/member.py`) and serves distributors from what is agreed."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from dockthread.clock import Clock
+from dockthread.distribution.fanout import FanoutLimits
+from dockthread.distribution.kinds import VALIDATORS
+from dockthread.distribution.messages import Publish, Published
+from dockthread.distribution.publishing import Publishing
+from dockthread.distribution.server import Server, ServerLimits
+from dockthread.fleet.member import Member
+from dockthread.fleet.options import FleetOptions
+from dockthread.settings import Address
+
+AGREEMENT = 3_000.0  # ms that a publisher waits for the agreed log
+NOT_AGREED = "no majority has agreed in time: ask again with the same token, and it counts once"
+
+
+class Voter:
+    """One member of the agreed log of control, and its server."""
+
+    def __init__(
+        self,
+        name: str,
+        fleet: FleetOptions,
+        clock: Clock,
+        rng: random.Random,
+        limits: ServerLimits | None = None,
+        fanout_limits: FanoutLimits | None = None,
+        key: bytes = b"",
+    ) -> None:
+        """Raises OSError, ValueError or `fleet.store.Lost` where the directory or the key cannot be used."""
+        self.publishing = Publishing(VALIDATORS, rng)
+        self.server = Server(
+            name, "voter", self.publishing.table, clock, rng, self.age, limits, fanout_limits, key, self
+        )
+        self.member = Member(name, fleet, clock, rng.getrandbits(32), self)
+        self._clock, self._serving = clock, False
+
+    async def open(self, listen: Address) -> Address:
+        """Serve, and take part. Raises OSError where it cannot listen, ValueError for a state that means nothing."""
+        at = await self.server.open(listen)
+        self._serving = True
+        try:
+            await self.member.open()
+        except msgspec.MsgspecError as error:
+            raise ValueError(f"[fleet] directory: its log is not that of control: {error}") from error
+        return at
+
+    async def close(self) -> None:
+        await self.member.close()
+        await self.server.close()
+
+    def age(self) -> float:
+        """ms since what is applied here was known to be all that was agreed on; -1 for never."""
+        return self.member.age()
+
+    async def publish(self, change: Publish) -> Published:
+        """Have the log agree on a change. The same token counts once."""
+        if (known := self.publishing.answer(change.token)) is not None and known.revision:
+            return known
+        # Only what the leader holds is sure to be the latest: elsewhere the log itself refuses, when it is applied.
+        leads = self.member.leader == self.member.name
+        if leads and (reason := self.publishing.refusal(change)):
+            return Published(change.token, 0, reason)
+        if not await self.member.propose(self.publishing.proposal(change), AGREEMENT):
+            return Published(change.token, -1, NOT_AGREED)
+        return self.publishing.answer(change.token) or Published(change.token, -1, NOT_AGREED)
+
+    # What its member tells (fleet/member.py, Owner)
+
+    def apply(self, index: int, data: bytes) -> None:
+        self.publishing.apply(index, data)
+        self._changed()
+
+    def restore(self, index: int, state: bytes) -> None:
+        self.publishing.restore(index, state)
+        self._changed()
+
+    def state(self) -> bytes:
+        return self.publishing.state()
+
+    def came_to(self, index: int, term: int) -> None: ...
+
+    def shown(self, sender: str, data: bytes) -> None: ...
+
+    def changed(self) -> None: ...
+
+    def _changed(self) -> None:
+        if self._serving:
+            self.server.changed()
--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -97,6 +97,7 @@
         self._waiting: dict[int, tuple[int, asyncio.Future[int]]] = {}  # by index: its term, who waits for it
         self._asked: dict[int, asyncio.Future[int]] = {}  # by token: who waits for the leader's word
         self._token = 0
+        self._current = -1.0  # when the owner was last known to have all
         self._carried = 0  # the last index that the owner has applied
         self._behind: list[tuple[int, asyncio.Future[None]]] = []  # who waits for the owner to come to an index
         self._keeper = ThreadPoolExecutor(1, thread_name_prefix="fleet-log")
@@ -200,6 +201,19 @@
         """Who answered this leader within its patience."""
         return self._agreement.heard_within(self._options.patience) if self.opened else set()
 
+    def age(self) -> float:
+        """ms since the owner was known to have all that was agreed on, give or take a beat; -1 for never. A leader
+        counts from when a majority answered, any other from when it last heard its leader."""
+        if not self.opened:
+            return -1.0
+        now, core = self._clock.now(), self._agreement
+        if core.role is Role.LEADER:
+            spans = (self._times.beat * n for n in range(1, 1 + int(self._times.patience // self._times.beat)))
+            within = next((ms for ms in spans if core.majority(core.heard_within(ms) | {self.name})), None)
+            if within is not None and self._carried >= core.commit:
+                self._current = max(self._current, now - within)
+        return now - self._current if self._current >= 0 else -1.0
+
     def propose_here(self, data: bytes) -> None:
         """Only where this member leads, and with nobody waiting for it."""
         self._do(self._agreement.propose(self._clock.now(), data)[1])
@@ -265,8 +279,7 @@
                     continue
                 if isinstance(message, wire.Part):
                     if (whole := assembly.add(message)) is not None:
-                        self._do(self._agreement.heard(self._clock.now(), whole))
-                        self._arm()
+                        self._hear(whole)
                 elif isinstance(message, wire.Show):
                     self._shown(message)
                 elif isinstance(message, wire.Ask):
@@ -277,8 +290,7 @@
                     if (asked := self._asked.pop(message.token, None)) and not asked.done():
                         asked.set_result(message.index)
                 else:
-                    self._do(self._agreement.heard(self._clock.now(), message))
-                    self._arm()
+                    self._hear(message)
         except wire.MalformedFrame as error:
             self.spoilt += 1
             logger.debug("fleet: a frame is dropped: {}", error)
@@ -287,6 +299,14 @@
         finally:
             writer.close()
 
+    def _hear(self, message: wire.Message) -> None:
+        now, core = self._clock.now(), self._agreement
+        self._do(core.heard(now, message))
+        self._arm()
+        # Then it has all that was agreed on when that was sent; `commit` 0 tells nothing of it.
+        if isinstance(message, wire.Append) and core.leader == message.sender and 0 < message.commit <= self._carried:
+            self._current = now
+
     # What it decides, carried out in order
 
     def _do(self, actions: list[Action]) -> None:
