--- a/dockthread/distribution/fanout.py
+++ b/dockthread/distribution/fanout.py
@@ -21,12 +21,32 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from dataclasses import dataclass
+from typing import Final
 
-from dockthread.distribution.messages import Acknowledge, Heartbeat, RetryLater, Subscribe, SubscriberStatus
+from dockthread.distribution.admission import SnapshotBudget
+from dockthread.distribution.encoded import FramesCache, Snapshot
+from dockthread.distribution.lag import Arrivals
+from dockthread.distribution.messages import (
+    MOST_NAME,
+    MOST_REJECTIONS,
+    Acknowledge,
+    Heartbeat,
+    Rejection,
+    RetryLater,
+    Subscribe,
+    SubscriberStatus,
+    codec,
+)
 from dockthread.distribution.resources import ResourceTable
 
-NEVER = -1.0  # age of a table that was never known to hold all
+NEVER: Final = -1.0  # age of a table that was never known to hold all
+NEVER_SENT: Final = -1e18
+FULL_RETRY: Final = 500.0  # ms, about: no room for one more subscriber, so it had better go elsewhere
+SNAPSHOT_KEPT: Final = 60_000.0  # ms for which the encoded snapshot is kept after it was last asked for
+MOST_GONE: Final = 20_000  # subscribers remembered after they are gone
+EARLY: Final = 1.0  # ms by which a heartbeat may leave early
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +78,35 @@
     reason: str
 
 
+@dataclass(slots=True)
+class _Standing:
+    """What is known of a subscriber, also after it is gone."""
+
+    message: Subscribe
+    at: float
+    epoch: str = ""
+    revision: int = 0  # in force
+    rejections: int = 0
+    rejected: tuple[Rejection, ...] = ()
+
+
+@dataclass(slots=True)
+class _Cursor:
+    """One connection: what was handed over for it."""
+
+    standing: _Standing
+    heard_at: float
+    epoch: str
+    revision: int
+    snapshot: Snapshot | None = None  # under way
+    wants_snapshot: bool = False
+    part: int = 0
+    confirmed: bool = False  # it was told that what it holds is complete, with the digest
+    owed: float = 0.0  # bytes of the snapshot
+    heartbeat_at: float = NEVER_SENT
+    replaced: bool = False  # by another connection of the same name
+
+
 class Fanout:
     """Serves `table`, which somebody else changes, to subscribers by the rim's numbers of their connections.
 
@@ -68,42 +117,204 @@
         self, table: ResourceTable, limits: FanoutLimits, rng: random.Random, key: bytes = b"", now: float = 0.0
     ) -> None:
         self.table, self._limits, self._rng, self._key = table, limits, rng, key
+        self._cursors: dict[int, _Cursor] = {}
+        self._connection_of: dict[str, int] = {}  # by subscriber
+        self._gone: OrderedDict[str, _Standing] = OrderedDict()
+        self._cache = FramesCache(table, limits.part, key)
+        self._snapshot_asked = now
+        self._budget = SnapshotBudget(
+            limits.snapshot_rate, limits.snapshot_burst, limits.retry_least, limits.retry_most, rng
+        )
+        self._arrivals = Arrivals(now, table)
+        self._fresh_at: float | None = None
+        self._beat_at = now + limits.beat
+        self._paced = False  # a part waits for the budget
 
     def subscribe(self, now: float, connection: int, message: Subscribe) -> RetryLater | None:
         """The first message of a connection. None where it is taken in; else the rim sends the answer and closes, and
         the connection is not known here. Raises `UnexpectedMessage` for a second one on the same connection."""
-        raise NotImplementedError
+        if connection in self._cursors:
+            raise UnexpectedMessage("it has subscribed before")
+        if not 0 < len(message.name.encode()) <= MOST_NAME or len(message.region + message.zone) > 2 * MOST_NAME:
+            raise UnexpectedMessage("its name or place is empty or too long")
+        self._arrivals.notice(now, self.table)
+        if len(self._connection_of) >= self._limits.most_subscribers and message.name not in self._connection_of:
+            return RetryLater(FULL_RETRY * self._rng.uniform(0.5, 1.5), "no room for one more subscriber")
+        cursor = _Cursor(_Standing(message, now), now, message.epoch, message.revision)
+        if self._needs_snapshot(cursor, message.digest):
+            if not self._budget.admits(now, self.table.bytes):
+                after = self._budget.retry_after(now, self.table.bytes)
+                return RetryLater(after, "no budget for one more snapshot")
+            cursor.wants_snapshot, cursor.owed = True, float(self.table.bytes)
+        self._replace(message.name, connection)
+        self._cursors[connection] = cursor
+        self._gone.pop(message.name, None)
+        return None
 
     def heard(self, now: float, connection: int, message: Acknowledge | Heartbeat) -> None:
         """Any later message. Raises `UnexpectedMessage` where the connection has not subscribed."""
-        raise NotImplementedError
+        cursor = self._cursors.get(connection)
+        if cursor is None:
+            raise UnexpectedMessage("it has not subscribed")
+        cursor.heard_at = now
+        if isinstance(message, Acknowledge):
+            standing = cursor.standing
+            standing.at, standing.epoch, standing.revision = now, message.epoch, message.revision
+            standing.rejections, standing.rejected = message.rejections, message.rejected[:MOST_REJECTIONS]
 
     def next_frame(self, now: float, connection: int) -> bytes | None:
         """The next frame for a connection whose socket has room, ready to be written: an update, or a heartbeat that
-        is due. None where there is nothing now: ask again when the table has changed, and at `due`."""
-        raise NotImplementedError
+        is due. Ask again until there is None: then when the table has changed, and at `due`. None too for one that is
+        not known."""
+        cursor = self._cursors.get(connection)
+        if cursor is None or cursor.replaced:
+            return None
+        self._arrivals.notice(now, self.table)
+        if now - cursor.heartbeat_at >= 2 * self._limits.beat:  # the first one too: it tells how fresh this is
+            return self._heartbeat(now, cursor)
+        frame = self._update(now, cursor)
+        if frame is None and now - cursor.heartbeat_at >= self._limits.beat - EARLY:
+            return self._heartbeat(now, cursor)
+        return frame
 
     def closed(self, now: float, connection: int) -> None:
         """A connection is gone, whoever ended it. One that is not known is passed over."""
-        raise NotImplementedError
+        cursor = self._cursors.pop(connection, None)
+        if cursor is None:
+            return
+        self._budget.settle(cursor.owed)
+        name = cursor.standing.message.name
+        if self._connection_of.get(name) == connection:
+            del self._connection_of[name]
+            self._gone[name] = cursor.standing
+            cursor.standing.at = now
+            while len(self._gone) > MOST_GONE:
+                self._gone.popitem(last=False)
 
     def fresh(self, now: float, age: float) -> None:
         """The table was known to hold all that was agreed on `age` ms ago; `NEVER` for never. Heartbeats tell it. On
         a voter: since it last heard from a leader, or as one from a majority; on a distributor `Subscriber.age`."""
-        raise NotImplementedError
+        self._fresh_at = now - age if age >= 0.0 else None
 
     def tick(self, now: float) -> list[Overdue]:
         """Connections to be closed. Call it at `due`; then ask `next_frame` of every connection with room."""
-        raise NotImplementedError
+        self._arrivals.notice(now, self.table)
+        self._paced = False  # whoever is asked next tells again
+        if now >= self._beat_at:
+            self._beat_at = now + self._limits.beat
+        if now - self._snapshot_asked > SNAPSHOT_KEPT:
+            self._cache.drop_snapshot()
+        self._forget(now)
+        overdue = [Overdue(c, "replaced by a newer connection") for c, one in self._cursors.items() if one.replaced]
+        for connection, cursor in self._cursors.items():
+            if not cursor.replaced and now - cursor.heard_at > self._limits.silence:
+                overdue.append(Overdue(connection, "silent for too long"))
+        return overdue
 
     def due(self) -> float:
-        """When the next heartbeat is due, at the latest one beat from the last `tick`."""
-        raise NotImplementedError
+        """When `tick` is wanted: for the next heartbeat, or for the budget's next part."""
+        if self._paced:
+            return min(self._beat_at, self._budget.affords_at())
+        return self._beat_at
 
     def connections(self) -> list[int]:
         """Those that are subscribed."""
-        raise NotImplementedError
+        return list(self._cursors)
 
     def status(self, now: float) -> tuple[SubscriberStatus, ...]:
         """Each subscriber, and each that is gone since less than `remember`, by name."""
-        raise NotImplementedError
+        self._arrivals.notice(now, self.table)
+        here = {one.standing.message.name: one.standing for one in self._cursors.values() if not one.replaced}
+        known = {**self._gone, **here}
+        return tuple(self._status(now, known[name], name in here) for name in sorted(known))
+
+    def _status(self, now: float, standing: _Standing, connected: bool) -> SubscriberStatus:
+        message = standing.message
+        revision = standing.revision if standing.epoch == self.table.epoch else 0
+        return SubscriberStatus(
+            message.name,
+            message.region,
+            message.zone,
+            connected,
+            revision,
+            self._arrivals.behind(now, revision),
+            standing.rejections,
+            standing.rejected,
+        )
+
+    def _replace(self, name: str, connection: int) -> None:
+        """The newest connection of a subscriber counts; its older one is closed at the next tick."""
+        older = self._connection_of.get(name)
+        if older is not None:
+            self._cursors[older].replaced = True
+        self._connection_of[name] = connection
+
+    def _forget(self, now: float) -> None:
+        while self._gone:
+            name = next(iter(self._gone))
+            if now - self._gone[name].at <= self._limits.remember:
+                return
+            del self._gone[name]
+
+    def _needs_snapshot(self, cursor: _Cursor, digest: bytes) -> bool:
+        """Whether nothing but a snapshot brings it up to date, as the table is now."""
+        table = self.table
+        if not table.revision:
+            return False  # nothing to be had here yet
+        if cursor.epoch != table.epoch or cursor.revision < max(table.horizon, 1):
+            return True
+        same = cursor.revision == table.revision and table.whole
+        return same and bool(digest) and digest != table.digest
+
+    def _update(self, now: float, cursor: _Cursor) -> bytes | None:
+        if cursor.snapshot is None:
+            cursor.wants_snapshot = cursor.wants_snapshot or self._needs_snapshot(cursor, b"")
+            if cursor.wants_snapshot:
+                return self._begin_snapshot(now, cursor)
+            return self._delta(cursor)
+        return self._snapshot_part(now, cursor, cursor.snapshot)
+
+    def _begin_snapshot(self, now: float, cursor: _Cursor) -> bytes | None:
+        """One that lost its place while it was served (other epoch, too slow) was not admitted for a snapshot: it is
+        owed one all the same, and paid from the same budget."""
+        if not self.table.whole:
+            return None
+        cursor.snapshot, cursor.part, cursor.wants_snapshot = self._cache.snapshot(), 0, False
+        return self._snapshot_part(now, cursor, cursor.snapshot)
+
+    def _snapshot_part(self, now: float, cursor: _Cursor, snapshot: Snapshot) -> bytes | None:
+        if not self._budget.affords(now):
+            self._paced = True
+            return None
+        self._snapshot_asked = now
+        frame = snapshot.frame(cursor.part)
+        if frame is None:
+            self._end_snapshot(cursor, snapshot)
+            return self._update(now, cursor)
+        self._budget.spend(len(frame))
+        paid = min(float(len(frame)), cursor.owed)
+        self._budget.settle(paid)
+        cursor.owed -= paid
+        cursor.part += 1
+        return frame
+
+    def _end_snapshot(self, cursor: _Cursor, snapshot: Snapshot) -> None:
+        self._budget.settle(cursor.owed)
+        cursor.owed, cursor.snapshot = 0.0, None
+        cursor.epoch, cursor.revision, cursor.confirmed = snapshot.epoch, snapshot.revision, True
+        cursor.heartbeat_at = min(cursor.heartbeat_at, NEVER_SENT)  # how fresh it is now
+
+    def _delta(self, cursor: _Cursor) -> bytes | None:
+        table = self.table
+        if cursor.epoch != table.epoch or not table.can_resume(cursor.revision):
+            return None  # nothing here yet, or the table is behind
+        if cursor.revision == table.revision and (cursor.confirmed or not table.whole):
+            return None
+        delta = self._cache.delta(cursor.revision)
+        cursor.revision, cursor.confirmed = delta.revision, delta.complete
+        return delta.frame
+
+    def _heartbeat(self, now: float, cursor: _Cursor) -> bytes:
+        cursor.heartbeat_at = now
+        age = NEVER if self._fresh_at is None else max(0.0, now - self._fresh_at)
+        return codec.pack(Heartbeat(self.table.epoch, self.table.revision, age), self._key)
--- /dev/null
+++ b/dockthread/distribution/in_force.py
@@ -0,0 +1,62 @@
+"""What of a table the owner has put in force, and what it refused."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from dockthread.distribution.messages import MOST_REJECTIONS, Acknowledge, Rejection, Resource
+
+
+@dataclass(slots=True)
+class _Batch:
+    number: int
+    acknowledge: Acknowledge  # once it is in force, without rejections
+    keys: list[tuple[str, str]]
+
+
+class InForce:
+    """Batches that the owner was given, until it tells that they are in force."""
+
+    def __init__(self, held: Acknowledge, rejections: Iterable[Rejection]) -> None:
+        self._held = held
+        self._rejections = {(one.kind, one.name): one for one in rejections}
+        self._batches: deque[_Batch] = deque()
+        self._given = 0
+
+    @property
+    def rejections(self) -> tuple[Rejection, ...]:
+        """Of all that is in force."""
+        return tuple(self._rejections.values())
+
+    def give(self, resources: Sequence[Resource], then: Acknowledge) -> int:
+        """The number of a new batch; `then` holds once it is in force."""
+        self._given += 1
+        self._batches.append(_Batch(self._given, then, [(one.kind, one.name) for one in resources]))
+        return self._given
+
+    def unchanged(self, then: Acknowledge) -> None:
+        """The table moved on without a change to any resource."""
+        if self._batches:
+            self._batches[-1].acknowledge = then
+        else:
+            self._held = then
+
+    def applied(self, number: int, rejected: Iterable[Rejection]) -> bool:
+        """All up to this batch is in force but for what was rejected. False for a batch that is not awaited."""
+        if not self._batches or not self._batches[0].number <= number <= self._given:
+            return False
+        while self._batches and self._batches[0].number <= number:
+            batch = self._batches.popleft()
+            for key in batch.keys:
+                self._rejections.pop(key, None)
+            self._held = batch.acknowledge
+        self._rejections.update({(one.kind, one.name): one for one in rejected})
+        return True
+
+    def acknowledge(self) -> Acknowledge:
+        """What is in force now."""
+        held = self._held
+        rejected = self.rejections
+        return Acknowledge(held.epoch, held.revision, held.digest, rejected[:MOST_REJECTIONS], len(rejected))
--- /dev/null
+++ b/dockthread/distribution/receiving.py
@@ -0,0 +1,105 @@
+"""Takes updates into a table, in their order or not at all.
+
+A delta is checked whole before any of it is put. The parts of a snapshot go into a table of their own, which takes
+the place of the held one with the last part; until then the held one stays as it was.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from dockthread.distribution.messages import MOST_BODY, MOST_NAME, Resource, Update
+from dockthread.distribution.resources import ResourceTable
+
+
+class BadUpdate(Exception):
+    """An update that its sender should not have sent; nothing of it was taken."""
+
+
+class OldSnapshot(Exception):
+    """A snapshot that is older than what is held; nothing of it was taken."""
+
+
+class WrongDigest(Exception):
+    """A complete update after which the digest differs from the sender's. A snapshot was not taken; a delta was, and
+    `changed` is what it changed."""
+
+    def __init__(self, changed: tuple[Resource, ...]) -> None:
+        super().__init__("the digest differs from the server's")
+        self.changed = changed
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What an update changed in the table; None in `changed` while a snapshot is not complete."""
+
+    changed: tuple[Resource, ...] | None
+    snapshot: bool = False
+
+
+class Receiver:
+    """Takes what one connection after another brings into `table`."""
+
+    def __init__(self, table: ResourceTable) -> None:
+        self._table = table
+        self._staged: ResourceTable | None = None
+
+    @property
+    def staging(self) -> bool:
+        """Whether a snapshot is under way."""
+        return self._staged is not None
+
+    def begin(self) -> None:
+        """A new connection: what was staged of the one before is let go."""
+        self._staged = None
+
+    def take(self, update: Update) -> Taken:
+        """Raises `BadUpdate`, `OldSnapshot` or `WrongDigest`; then the connection is of no use any more."""
+        if not update.epoch or (update.complete and not update.digest):
+            raise BadUpdate("it names no epoch, or no digest where it is complete")
+        if update.snapshot:
+            if self._staged is not None:
+                raise BadUpdate("a snapshot begins within another")
+            self._staged = ResourceTable(update.epoch)
+        into = self._table if self._staged is None else self._staged
+        self._check(update, into)
+        for resource in update.resources:
+            into.put(resource)
+        into.advance(update.revision)
+        into.whole = update.complete
+        return self._end_delta(update) if self._staged is None else self._end_part(update, self._staged)
+
+    def _end_delta(self, update: Update) -> Taken:
+        if update.complete and update.digest != self._table.digest:
+            self._table.whole = False
+            raise WrongDigest(update.resources)
+        return Taken(update.resources)
+
+    def _end_part(self, update: Update, staged: ResourceTable) -> Taken:
+        if not update.complete:
+            return Taken(None, snapshot=True)
+        if staged.epoch == self._table.epoch and staged.revision < self._table.revision:
+            raise OldSnapshot(f"a snapshot of revision {staged.revision}, and {self._table.revision} is held")
+        if update.digest != staged.digest:
+            raise WrongDigest(())
+        staged.horizon = max(staged.horizon, update.horizon)
+        changed = self._table.difference(staged)
+        self._table.adopt(staged)
+        self._staged = None
+        return Taken(changed, snapshot=True)
+
+    @staticmethod
+    def _check(update: Update, into: ResourceTable) -> None:
+        if update.epoch != into.epoch:
+            raise BadUpdate(f"an update of epoch {update.epoch} after {into.epoch}")
+        before = into.revision
+        if update.revision < before:
+            raise BadUpdate(f"an update to revision {update.revision} after {before}")
+        for resource in update.resources:
+            if not before < resource.revision <= update.revision:
+                raise BadUpdate(f"revision {resource.revision} out of its order")
+            before = resource.revision
+            if max(len(resource.kind), len(resource.name)) > MOST_NAME or len(resource.body or b"") > MOST_BODY:
+                raise BadUpdate("a resource is too large")
+            if "\x00" in resource.kind:
+                raise BadUpdate("a kind holds a zero")
--- a/dockthread/distribution/resources.py
+++ b/dockthread/distribution/resources.py
@@ -23,7 +23,7 @@
 
 MOST_TOMBSTONES: Final = 8192
 DIGEST_SIZE: Final = 16  # bytes
-OVERHEAD: Final = 24  # bytes that a resource may take in a message besides its kind, name and body
+OVERHEAD: Final = 8  # bytes that a resource may take in a message besides what is held of it
 _MODULUS: Final = 1 << (8 * DIGEST_SIZE)
 _SEPARATOR: Final = "\x00"  # between kind and name; no kind holds it
 _HEAD: Final = struct.Struct("<Q?")  # revision, whether it is live
@@ -40,6 +40,8 @@
         self.epoch = epoch
         self.revision = 0
         self.horizon = 0
+        self.whole = True  # holds the latest of each key at `revision`; not between the parts of an update
+        self.bytes = 0  # of all entries in messages, about
         self._most_tombstones = most_tombstones
         self._packed: dict[str, bytes] = {}  # by kind and name, the newest last
         self._tombstones: deque[tuple[int, str]] = deque()  # some may have been replaced since
@@ -81,6 +83,7 @@
         key = _key(resource.kind, resource.name)
         self._remove(key)
         packed = self._packed[key] = _pack(resource)
+        self.bytes += _held_size(key, packed)
         if resource.body is None:
             self._tombstones.append((resource.revision, key))
         else:
@@ -95,8 +98,8 @@
     def load(self, epoch: str, revision: int, horizon: int, entries: Iterable[Resource]) -> None:
         """Hold this in place of all before: `entries` in the order of their revisions, tombstones included. Raises
         `OutOfOrder` for another order, and then the table is of no use: load into a new one."""
-        self.epoch, self.revision, self.horizon = epoch, 0, horizon
-        self._packed, self._live, self._sum = {}, 0, 0
+        self.epoch, self.revision, self.horizon, self.whole = epoch, 0, horizon, True
+        self._packed, self._live, self._sum, self.bytes = {}, 0, 0, 0
         self._tombstones.clear()
         for entry in entries:
             self.put(entry)
@@ -107,16 +110,39 @@
     def adopt(self, other: ResourceTable) -> None:
         """Hold what `other` holds, in place of all before. `other` is of no use after it."""
         self.epoch, self.revision, self.horizon = other.epoch, other.revision, other.horizon
+        self.whole, self.bytes = other.whole, other.bytes
         self._packed, self._tombstones = other._packed, other._tombstones
         self._live, self._sum = other._live, other._sum
 
+    def difference(self, newer: ResourceTable) -> tuple[Resource, ...]:
+        """What has to be put, and what deleted, for a holder of this table to hold the live resources of `newer`."""
+        gone = [key for key, packed in self._packed.items() if _is_live(packed) and not newer._holds_live(key)]
+        found = [Resource(*_split(key), newer._revision_of(key), None) for key in gone]
+        for key, packed in newer._packed.items():
+            if _is_live(packed) and self._packed.get(key) != packed:
+                found.append(_unpack(key, packed))
+        return tuple(sorted(found, key=lambda resource: resource.revision))
+
+    def _holds_live(self, key: str) -> bool:
+        packed = self._packed.get(key)
+        return packed is not None and _is_live(packed)
+
+    def _revision_of(self, key: str) -> int:
+        """Of the entry; where there is none, by when it must have been deleted."""
+        packed = self._packed.get(key)
+        return self.revision if packed is None else int(_HEAD.unpack_from(packed)[0])
+
+    def freeze(self) -> FrozenTable:
+        """What is held now, to be cut into the parts of a snapshot while the table goes on."""
+        return FrozenTable(self)
+
     def can_resume(self, revision: int) -> bool:
         """Whether a receiver that holds `revision` of this history can be brought up to date without a snapshot."""
         return max(self.horizon, 1) <= revision <= self.revision
 
     def since(self, revision: int, most_bytes: int) -> Update:
-        """The next part for a receiver that holds `revision`, the latest of each key only, some resource at least.
-        It is for one for which `can_resume` holds; and for one that holds nothing, without the deletes."""
+        """The next part for a receiver that holds `revision`, for which `can_resume` holds: the latest of each key
+        only, and one resource at least where there is any. It is complete only where the table is whole."""
         lacking = self._lacking(revision)
         part: list[Resource] = []
         room = most_bytes
@@ -125,6 +151,8 @@
             part.append(lacking.pop())
         if lacking:
             return Update(self.epoch, part[-1].revision, tuple(part), complete=False)
+        if not self.whole:
+            return Update(self.epoch, self.revision, tuple(part), complete=False)
         return Update(self.epoch, self.revision, tuple(part), digest=self.digest)
 
     def _lacking(self, revision: int) -> list[Resource]:
@@ -139,7 +167,10 @@
 
     def _remove(self, key: str) -> None:
         packed = self._packed.pop(key, None)
-        if packed is not None and _HEAD.unpack_from(packed)[1]:
+        if packed is None:
+            return
+        self.bytes -= _held_size(key, packed)
+        if _is_live(packed):
             self._count(key, packed, -1)
 
     def _count(self, key: str, packed: bytes, sign: int) -> None:
@@ -152,10 +183,41 @@
             revision, key = self._tombstones.popleft()
             packed = self._packed.get(key)
             if packed is not None and _HEAD.unpack_from(packed) == (revision, False):
-                del self._packed[key]
+                self._remove(key)
                 self.horizon = max(self.horizon, revision)
 
 
+class FrozenTable:
+    """A table as it stood, tombstones included, the oldest revision first; without a copy of any resource."""
+
+    def __init__(self, table: ResourceTable) -> None:
+        self.epoch, self.revision, self.horizon = table.epoch, table.revision, table.horizon
+        self.digest, self.bytes = table.digest, table.bytes
+        self._keys, self._values = list(table._packed), list(table._packed.values())
+        self._next = 0
+        self._begun = False
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether all parts were given."""
+        return self._begun and self._next == len(self._keys)
+
+    def next_part(self, most_bytes: int) -> Update:
+        """The part behind the last one given: the first opens a snapshot, the last is complete."""
+        start, room = self._next, most_bytes
+        while self._next < len(self._keys):
+            room -= _held_size(self._keys[self._next], self._values[self._next])
+            if room < 0 and self._next > start:
+                break
+            self._next += 1
+        keys, values = self._keys[start : self._next], self._values[start : self._next]
+        resources = tuple(_unpack(key, packed) for key, packed in zip(keys, values, strict=True))
+        first, self._begun = not self._begun, True
+        if not self.exhausted:
+            return Update(self.epoch, resources[-1].revision, resources, snapshot=first, complete=False)
+        return Update(self.epoch, self.revision, resources, first, True, self.digest, self.horizon)
+
+
 def _key(kind: str, name: str) -> str:
     return f"{kind}{_SEPARATOR}{name}"
 
@@ -165,8 +227,17 @@
     return _HEAD.pack(resource.revision, live) + (resource.body or b"")
 
 
-def _unpack(key: str, packed: bytes) -> Resource:
+def _split(key: str) -> tuple[str, str]:
     kind, _, name = key.partition(_SEPARATOR)
+    return kind, name
+
+
+def _is_live(packed: bytes) -> bool:
+    return bool(_HEAD.unpack_from(packed)[1])
+
+
+def _unpack(key: str, packed: bytes) -> Resource:
+    kind, name = _split(key)
     revision, live = _HEAD.unpack_from(packed)
     return Resource(kind, name, revision, packed[_HEAD.size :] if live else None)
 
@@ -179,5 +250,9 @@
     return int.from_bytes(hashed.digest(), "little")
 
 
+def _held_size(key: str, packed: bytes) -> int:
+    return OVERHEAD + len(key) + len(packed)
+
+
 def _size(resource: Resource) -> int:
-    return OVERHEAD + len(resource.kind) + len(resource.name) + len(resource.body or b"")
+    return OVERHEAD + _HEAD.size + 1 + len(resource.kind) + len(resource.name) + len(resource.body or b"")
