--- a/dockthread/cli/main.py
+++ b/dockthread/cli/main.py
@@ -17,6 +17,7 @@
     "metrics": ("dockthread.cli.metrics", "metrics"),
     "work": ("dockthread.cli.work", "work"),
     "fleet": ("dockthread.cli.work", "fleet"),
+    "control": ("dockthread.cli.control", "control"),
     "lab": ("dockthread.cli.lab", "lab"),
     "completion": ("dockthread.cli.completion", "completion"),
 }
--- a/dockthread/distribution/cache.py
+++ b/dockthread/distribution/cache.py
@@ -27,7 +27,7 @@
 from loguru import logger
 
 from dockthread.distribution.messages import Resource
-from dockthread.distribution.resources import OutOfOrder, ResourceTable
+from dockthread.distribution.resources import FrozenTable, OutOfOrder, ResourceTable
 
 VERSION: Final = 1
 SUM: Final = 16  # bytes
@@ -139,7 +139,7 @@
     def __init__(self, directory: Path, name: str, interval: float) -> None:
         self.path = directory / f"{quote(name, safe='')}.cache"
         self._name, self._interval = name, interval / 1000.0
-        self._queue: deque[Resource | Commit] = deque()
+        self._queue: deque[Resource | FrozenTable | Commit] = deque()
         self._waiting = 0  # bytes in it
         self._epoch = ""  # of the file
         self._state = self._appended = 0  # bytes of the file when it was begun, and since
@@ -171,10 +171,12 @@
         whole = self._epoch != table.epoch or self._file is None
         if whole or self._appended > max(LEAST_REWRITE, GROWTH * self._state):
             self._begin(table.epoch)
-            changes = table.live()
-        for one in changes:
-            self._queue.append(one)
-            self._waiting += len(one.body or b"") + len(one.name)
+            self._queue.append(table.freeze())
+            self._waiting += table.bytes
+        else:
+            for one in changes:
+                self._queue.append(one)
+                self._waiting += _size(one)
         self._queue.append(Commit(table.epoch, table.revision, table.digest, kept))
         if self._alarm is None:
             loop = asyncio.get_running_loop()
@@ -209,16 +211,11 @@
 
     def _write_slice(self) -> bool:
         """One record of resources, and the commits behind it. False where it cannot be written."""
-        taken: list[Resource] = []
-        room = SLICE
-        while self._queue and room > 0 and isinstance(one := self._queue[0], Resource):
-            self._queue.popleft()
-            taken.append(one)
-            room -= len(one.body or b"") + len(one.name)
-        self._waiting -= SLICE - room
+        taken = self._take_slice()
+        self._waiting = max(0, self._waiting - sum(map(_size, taken)))
         try:
             if taken:
-                self._write(Part(tuple(taken)))
+                self._write(Part(taken))
             if self._queue and isinstance(commit := self._queue[0], Commit):
                 self._queue.popleft()
                 self._write(commit)
@@ -229,6 +226,21 @@
         self._failed = False
         return True
 
+    def _take_slice(self) -> tuple[Resource, ...]:
+        """The next resources, up to a commit."""
+        if self._queue and isinstance(frozen := self._queue[0], FrozenTable):
+            part = frozen.next_part(SLICE).resources
+            if frozen.exhausted:
+                self._queue.popleft()
+            return part
+        taken: list[Resource] = []
+        room = SLICE
+        while self._queue and room > 0 and isinstance(one := self._queue[0], Resource):
+            self._queue.popleft()
+            taken.append(one)
+            room -= _size(one)
+        return tuple(taken)
+
     def _write(self, record: Record) -> None:
         body = _encoder.encode(record)
         data = RECORD.pack(len(body), blake2b(body, digest_size=SUM).digest()) + body
@@ -256,3 +268,7 @@
         if self._file is not None:
             os.close(self._file)
         self._file = None
+
+
+def _size(one: Resource) -> int:
+    return len(one.body or b"") + len(one.name)
--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -66,6 +66,9 @@
     def heard(self, message: Message) -> None:
         self._client.heard(self.number, message)
 
+    def received(self) -> None:
+        self._client.received(self.number)
+
     def malformed(self, reason: str) -> None:
         self._client.malformed(self.number, reason)
 
@@ -205,6 +208,10 @@
         if not self._closed:
             self._do(self.subscriber.heard(self._clock.now(), number, message))
 
+    def received(self, number: int) -> None:
+        """Some bytes, if no whole message yet."""
+        self.subscriber.received(self._clock.now(), number)
+
     def malformed(self, number: int, reason: str) -> None:
         if not self._closed:
             logger.debug("control: connection {} is malformed: {}", number, reason)
@@ -268,10 +275,10 @@
         self._do(self.subscriber.applied(self._clock.now(), batch.batch, refused))
 
     def _save(self, batch: Changed) -> None:
-        """Only with nothing under way: then what the table holds is what was handed over."""
+        """Only with nothing under way and a whole table: then what it holds is what was handed over."""
         assert self._cache is not None
         self._unsaved += batch.resources
-        if not self._batches:
+        if not self._batches and self.subscriber.table.whole:
             self._cache.save(self.subscriber.table, self._unsaved, tuple(self._kept.values()))
             self._unsaved = []
 
--- a/dockthread/distribution/options.py
+++ b/dockthread/distribution/options.py
@@ -14,7 +14,7 @@
 
 LEAST_KEY, MOST_KEY = 16, 64  # bytes of the shared key
 LEAST_SAVE = 100.0  # ms between two writes of the cache
-LEAST_HEARTBEAT = 50.0  # ms
+LEAST_HEARTBEAT, MOST_HEARTBEAT = 50.0, 1_000.0  # ms: whoever hears nothing for 2.5 s leaves a server
 ROLES = "ingress, distributor, voter"
 
 Fault = tuple[str, str, str]
@@ -23,7 +23,8 @@
 class ControlOptions(Section, frozen=True, kw_only=True):
     """`role`: what this process is in the distribution; absent for none of it. `name`: of a voter, as in `[fleet]`
     members, or of a distributor; an ingress has the platform's. `listen`: where a voter or distributor serves.
-    `servers`: HOST:PORT of those to receive from. `cache`: a directory for the last state in force. `cache_interval`:
+    `servers`: HOST:PORT of those to receive from, `far_servers` of those to turn to while none of these
+    can be reached. `cache`: a directory for the last state in force. `cache_interval`:
     least time between two writes of it. `most_connections`: what a server holds at once. `write_buffer`: bytes that
     wait for one connection before its next message is asked for. `heartbeat`: between signs of life."""
 
@@ -31,6 +32,7 @@
     name: str = ""
     listen: str = ""
     servers: tuple[str, ...] = ()
+    far_servers: tuple[str, ...] = ()
     region: str = ""
     zone: str = ""
     key_file: str = ""
@@ -60,12 +62,16 @@
             yield "servers", "is missing", f"name those from which this {self.role} receives, HOST:PORT, ..."
         if self.role == "voter" and self.servers:
             yield "servers", "is set, and a voter receives by [fleet]", "leave it out"
-        for server in self.servers:
-            if host_port(server) is None:
-                yield "servers", f"{server!r} is no address", "write HOST:PORT"
-            elif self.servers.count(server) > 1:
-                yield "servers", f"names {server} twice", "name each once"
-                return
+        if self.far_servers and not self.servers:
+            yield "far_servers", "is set without servers", "name the near ones in servers"
+        named = (*self.servers, *self.far_servers)
+        for key, servers in (("servers", self.servers), ("far_servers", self.far_servers)):
+            for server in servers:
+                if host_port(server) is None:
+                    yield key, f"{server!r} is no address", "write HOST:PORT"
+                elif named.count(server) > 1:
+                    yield key, f"names {server} twice", "name each once"
+                    return
 
     def _name_faults(self) -> Iterable[Fault]:
         if self.role != "ingress" and not self.name:
@@ -82,12 +88,11 @@
             yield "most_connections", f"{self.most_connections} is out of range", "1 to 10000"
         if not 4 << 10 <= self.write_buffer <= 16 << 20:
             yield "write_buffer", f"{self.write_buffer} is out of range", "4KiB to 16MiB"
-        if not LEAST_HEARTBEAT <= self.heartbeat <= 60_000.0:
-            yield "heartbeat", f"{self.heartbeat} is out of range", f"{LEAST_HEARTBEAT:g}ms to 1min"
+        if not LEAST_HEARTBEAT <= self.heartbeat <= MOST_HEARTBEAT:
+            yield "heartbeat", f"{self.heartbeat} is out of range", f"{LEAST_HEARTBEAT:g}ms to 1s"
 
-    def addresses(self) -> list[Address]:
-        """Of the servers, in the file's order."""
-        return [Address(*found) for server in self.servers if (found := host_port(server)) is not None]
+    def listen_address(self) -> Address:
+        return Address.parse(self.listen)
 
     def key(self) -> bytes:
         """Raises ValueError where it cannot be read or has a wrong length."""
--- /dev/null
+++ b/dockthread/distribution/process.py
@@ -0,0 +1,158 @@
+"""A process of control: a voter or a distributor, until it is told to stop. No ingress is in it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import secrets
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Protocol
+
+import uvloop
+from loguru import logger
+
+from dockthread.clock import Clock
+from dockthread.distribution.cache import Cache
+from dockthread.distribution.client import Client
+from dockthread.distribution.fanout import FanoutLimits
+from dockthread.distribution.messages import Rejection, Resource
+from dockthread.distribution.options import ControlOptions
+from dockthread.distribution.server import Server, ServerLimits
+from dockthread.distribution.subscriber import Server as From
+from dockthread.distribution.voter import Voter
+from dockthread.fleet.options import FleetOptions
+from dockthread.fleet.store import Lost
+from dockthread.logs.setup import set_up
+from dockthread.sections import load
+from dockthread.settings import Address, SettingsError
+
+OK, CANNOT_LISTEN, BAD_CONFIGURATION = 0, 1, 2  # exit codes
+ASKING = 32  # connections beside the subscribers', for publishers and questions
+DISTRIBUTOR_SLICE = 4096  # resources: nothing has to be proved
+
+
+class Part(Protocol):
+    """A voter or a distributor."""
+
+    async def open(self, listen: Address) -> Address: ...
+
+    async def close(self) -> None: ...
+
+
+class Distributor:
+    """Receives as a subscriber and serves what it received. It knows no kind and refuses nothing."""
+
+    def __init__(self, options: ControlOptions, clock: Clock, rng: random.Random) -> None:
+        key = options.key()
+        self._server: Server | None = None  # until the client has read its cache
+        cache = cache_of(options, options.name)
+        self._client = Client(
+            options.name,
+            servers_of(options),
+            self,
+            clock,
+            rng,
+            key,
+            options.region,
+            options.zone,
+            cache,
+            slice_size=DISTRIBUTOR_SLICE,
+        )
+        subscriber = self._client.subscriber
+        limits, fanout = limits_of(options)
+        self._server = Server(
+            options.name,
+            "distributor",
+            subscriber.table,
+            clock,
+            rng,
+            lambda: subscriber.age(clock.now()),
+            limits,
+            fanout,
+            key,
+        )
+
+    async def open(self, listen: Address) -> Address:
+        assert self._server is not None
+        at = await self._server.open(listen)
+        self._client.open()
+        return at
+
+    async def close(self) -> None:
+        assert self._server is not None
+        await self._client.close()
+        await self._server.close()
+
+    # What its client tells
+
+    def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        return ()
+
+    def in_force(self, kind: str, name: str) -> Resource | None:
+        return None
+
+    def settled(self) -> None:
+        if self._server is not None:
+            self._server.changed()
+
+
+def servers_of(options: ControlOptions) -> list[From]:
+    near = [From(server, 0) for server in options.servers]
+    return near + [From(server, 1) for server in options.far_servers]
+
+
+def cache_of(options: ControlOptions, name: str) -> Cache | None:
+    return Cache(Path(options.cache), name, options.cache_interval) if options.cache else None
+
+
+def limits_of(options: ControlOptions) -> tuple[ServerLimits, FanoutLimits]:
+    most = options.most_connections
+    server = ServerLimits(most + ASKING, options.write_buffer)
+    return server, FanoutLimits(most_subscribers=most, beat=float(options.heartbeat))
+
+
+def _part(control: ControlOptions, fleet: FleetOptions) -> Part:
+    """Raises OSError, ValueError or `Lost` where it cannot be."""
+    rng = random.Random(secrets.randbits(64))
+    if control.role == "distributor":
+        return Distributor(control, Clock(), rng)
+    limits, fanout = limits_of(control)
+    return Voter(control.name, fleet, Clock(), rng, limits, fanout, control.key())
+
+
+async def _run(control: ControlOptions, fleet: FleetOptions) -> None:
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    part = _part(control, fleet)
+    at = await part.open(control.listen_address())
+    logger.info("control: {} {} serves at {}", control.role, control.name, at)
+    await stopped.wait()
+    await part.close()
+    logger.info("control: {} {} has ended", control.role, control.name)
+
+
+def serve(file: str) -> int:
+    """Serve until told to stop; the exit code."""
+    try:
+        read = load(file)
+        control, log = read.one("control"), read.one("log")
+        if control.role not in ("voter", "distributor"):
+            raise SettingsError(
+                f"{file}: [control] role: is {control.role or 'missing'}; voter or distributor would do"
+            )
+        level = os.environ.get("DOCKTHREAD_LOG") or log.level
+        set_up(level.upper(), log, ingress=control.name)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(_run(control, read.one("fleet")))
+    except (SettingsError, ValueError, Lost) as error:
+        print(f"dockthread: {error}", file=sys.stderr)
+        return BAD_CONFIGURATION
+    except OSError as error:
+        print(f"dockthread: cannot serve: {error}", file=sys.stderr)
+        return CANNOT_LISTEN
+    return OK
--- a/dockthread/distribution/server.py
+++ b/dockthread/distribution/server.py
@@ -43,6 +43,7 @@
 FRAMES_A_TURN = 4  # to one connection before others have their turn
 BACKLOG = 1024  # connections that wait to be accepted: a wave of restarts
 LEAST_WAIT = 0.005  # s
+COMPLAINT = 60_000.0  # ms between two lines in the log about malformed bytes
 
 
 class Publisher(Protocol):
@@ -87,8 +88,7 @@
         self._server.heard(self, message)
 
     def malformed(self, reason: str) -> None:
-        self._server.counts.malformed += 1
-        logger.debug("control: connection {} is closed: {}", self.number, reason)
+        self._server.malformed(self, reason)
 
     def ended(self, reason: str) -> None:
         self._server.ended(self)
@@ -124,6 +124,7 @@
         self._server: asyncio.Server | None = None
         self._alarm: asyncio.TimerHandle | None = None
         self._changed = False
+        self._complain_at = 0.0
         self._publishing: set[asyncio.Task[Any]] = set()
 
     async def open(self, listen: Address) -> Address:
@@ -171,6 +172,14 @@
         if self._connections.pop(connection.number, None) is not None and connection.subscribed:
             self.fanout.closed(self.clock.now(), connection.number)
 
+    def malformed(self, connection: Connection, reason: str) -> None:
+        """Counted, and told now and then: it may be a wrong key."""
+        self.counts.malformed += 1
+        if (now := self.clock.now()) >= self._complain_at:
+            self._complain_at = now + COMPLAINT
+            peer = connection.transport.get_extra_info("peername") if connection.transport is not None else None
+            logger.warning("control: {} malformed so far, the last from {}: {}", self.counts.malformed, peer, reason)
+
     def heard(self, connection: Connection, message: Message) -> None:
         now = connection.heard_at = self.clock.now()
         if not connection.writable and not connection.subscribed:
--- a/dockthread/distribution/stream.py
+++ b/dockthread/distribution/stream.py
@@ -28,6 +28,9 @@
     def heard(self, message: Message) -> None:
         """A whole message."""
 
+    def received(self) -> None:
+        """Some bytes came, and no whole message with them yet."""
+
     def malformed(self, reason: str) -> None:
         """Bytes that are no message, or too many; the connection ends."""
 
@@ -87,14 +90,15 @@
             return
         self._buffer += data
         try:
-            self._cut()
+            if not self._cut():
+                self.received()
         except MalformedFrame as error:
             self._buffer.clear()
             self.malformed(str(error))
             self.abort()
 
-    def _cut(self) -> None:
-        """All whole messages. Raises `MalformedFrame`; a message too large is refused by its head alone."""
+    def _cut(self) -> bool:
+        """All whole messages; whether there was one. Raises `MalformedFrame`: what is too large is so by its head."""
         at, buffer = 0, self._buffer
         while len(buffer) - at >= HEAD.size:
             head = bytes(buffer[at : at + HEAD.size])
@@ -107,5 +111,6 @@
             at += HEAD.size + size
             self.heard(codec.unpack(head, body, self._key))
             if self.is_closing:
-                return
+                return True
         del buffer[:at]
+        return at > 0
