Prove and put one route at the cost of its own size

Need: a change published to an ingress with 7,500 routes must not read, prove and replace them all. A drawn test holds verdicts and matches against a whole table's.

--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -5,6 +5,7 @@
     python -m benchmarks.routes copies [--seconds 20]                 answer times with a slow node, copies off and on
     python -m benchmarks.routes refusal                               load a request where all nodes refuse or fail
     python -m benchmarks.routes reload [--seconds 10]                 reloads a second under load, and what failed
+    python -m benchmarks.routes change                                time of one route's change, alone and as a file
 
 `cpu` is paired as in `benchmarks.telemetry`: all variants at once on one core, ratios of the same round.
 """
@@ -13,6 +14,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import random
 import signal
@@ -28,7 +30,12 @@
 import hiredis
 
 from benchmarks.rig import ANSWER, Daemon, Result, closed_loop, daemon, main, open_loop, pool, spread
+from dockthread import api
+from dockthread.distribution.kinds import route_of
+from dockthread.operator_file.reader import Kind, read
 from dockthread.routes.bounds import Facts
+from dockthread.routes.check import check
+from dockthread.routes.layers import Layers
 from dockthread.routes.options import RouteOptions
 from dockthread.routes.table import Table
 from dockthread.settings import Names
@@ -36,6 +43,17 @@
 STATUS = "class = seat-status\nattempts = 3\nbackoff = 20ms\n"
 NAMES = Names(("seat-status", "seat-checkout"), ("klein", "mittel", "gross"), (), ())
 
+SETTINGS = api.Settings(
+    number=0,
+    gateways=3,
+    classes=(
+        api.RequestClass(aim=1.5, deadline=4.0, effect=api.Effect.SAFE),
+        api.RequestClass(aim=3.0, deadline=12.0, effect=api.Effect.UNSAFE),
+    ),
+    plans=(api.Plan(), api.Plan(), api.Plan()),
+    most_attempts=4,
+)
+
 
 def routes(count: int) -> str:
     """`count` routes, of which the last takes the benchmark's requests; the others name firms or plans of others."""
@@ -189,13 +207,50 @@
           f"ms p50 {result.quantile(0.5):.2f}, p99 {result.quantile(0.99):.2f}, max {max(result.times):.2f}")  # fmt: skip
 
 
+async def change() -> None:
+    """One route changed among others that name firms: read, proved and put in the table with all, and alone."""
+    for count in (1000, 7500):
+        text = routes(count)
+        begun = time.perf_counter()
+        found = read(text, "f", {"route": Kind(RouteOptions, named=True)}).named("route")
+        parsed = time.perf_counter()
+        assert not check("f", found, SETTINGS, NAMES)
+        proved = time.perf_counter()
+        table = Table(NAMES, 0, 1)
+        table.replace(found, 0.0)
+        begun_again = time.perf_counter()
+        table.replace(found, 0.0)
+        replaced = time.perf_counter()
+        print(f"{count:>5} routes, all: read {(parsed - begun) * 1e3:.0f} ms, proved {(proved - parsed) * 1e3:.0f} ms, "
+              f"replaced {(replaced - begun_again) * 1e3:.0f} ms")  # fmt: skip
+        layers = Layers(Table(NAMES, 0, 1), SETTINGS, NAMES)
+        for name, route in found.items():
+            layers.put(name, route, 0.0)
+        for units in range(64):  # lists of combinations that a site has met
+            layers.table.find(Facts(0, 0, False, 1, units, False))
+        for kind, body in (
+            ("by firm", {"firm": "186a0", "attempts": 3}),
+            ("broad", {"class": "seat-status", "plan": "klein"}),
+        ):
+            times = []
+            for n in range(200):
+                data = json.dumps({**body, "timeout": f"{1000 + n}ms"}).encode()
+                begun = time.perf_counter()
+                refused = layers.put("firm-0" if kind == "by firm" else "a-broad", route_of("r", data), 0.0)
+                times.append((time.perf_counter() - begun) * 1e3)
+                assert not refused or kind == "broad", refused
+                layers.table.find(Facts(0, 0, False, 1, 1, False))
+            print(f"{count:>5} routes, one {kind}: read, proved and put, ms: median {statistics.median(times):.3f}, "
+                  f"most {max(times):.3f}{'; refused: ' + refused if refused else ''}")  # fmt: skip
+
+
 async def _load(ingress: Daemon, seconds: float) -> Result:
     return await open_loop(ingress.port, 140, seconds)
 
 
 def start() -> None:
     parser = argparse.ArgumentParser(description="What routes cost and bring.")
-    parser.add_argument("what", choices=["cpu", "match", "copies", "refusal", "reload"])
+    parser.add_argument("what", choices=["cpu", "match", "copies", "refusal", "reload", "change"])
     parser.add_argument("--rounds", type=int, default=150)
     parser.add_argument("--requests", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=0.0)
@@ -205,6 +260,7 @@
         "match": match,
         "copies": lambda: copies(o.seconds or 20.0),
         "refusal": refusal,
+        "change": change,
         "reload": lambda: reload(o.seconds or 10.0),
     }
     main(jobs[o.what]())
--- a/dockthread/routes/check.py
+++ b/dockthread/routes/check.py
@@ -8,22 +8,21 @@
 from collections.abc import Iterator, Mapping
 from difflib import get_close_matches
 
-import msgspec
-
 from dockthread import api
 from dockthread.module.api import Effect, Group, Outcome
 from dockthread.operator_file.quantities import Duration
 from dockthread.operator_file.reader import Problem
 from dockthread.routes.bounds import WORDS
 from dockthread.routes.budget import PART
+from dockthread.routes.matcher import Numbers, file_places, rules_of, shadows
 from dockthread.routes.options import RouteOptions
-from dockthread.routes.table import matchers, rules_of, shadows
 from dockthread.routes.worst import Worst, amplification, worst
 from dockthread.settings import Names
 
 PROVEN = frozenset((Outcome.FULL, Outcome.UNREACHABLE))  # outcomes after which nothing can have run
 STARVED = 0.5  # of what one firm may need: a limit below it is an error, and not only a warning
 USUAL = 0.2  # of a class's aim: an answer's usual time, as the module assumes before it has seen any
+SHADOWED = "can never match: [route {}] before it takes all its requests"
 NOTHING = Names((), (), (), ())
 
 Found = tuple[str, str, str, bool]  # key, wrong, would do, only a warning
@@ -48,11 +47,9 @@
             say(name, found)
         if not unknown:
             known[name] = route
-    zone = settings.zone if settings is not None else -1
-    here = matchers({n: _everywhere(r) for n, r in known.items()}, names, zone)
-    for name, by in shadows(here, {name: frozenset(route.hall) for name, route in known.items()}):
-        wrong = f"can never match: [route {by}] before it takes all its requests"
-        say(name, ("", wrong, "set it before that", False))
+    numbers, places = Numbers(names), file_places(known)
+    for name, by in shadows(numbers.matcher(n, route, places[n]) for n, route in known.items()):
+        say(name, ("", SHADOWED.format(by), "set it before that", False))
     if settings is not None:
         for name, route in known.items():
             for found in _against(name, route, settings, names):
@@ -60,9 +57,11 @@
     return problems
 
 
-def _everywhere(route: RouteOptions) -> RouteOptions:
-    """A route of another hall is checked as one of this: the file is shared by all ingresses."""
-    return msgspec.structs.replace(route, hall=())
+def check_one(name: str, route: RouteOptions, settings: api.Settings, names: Names) -> list[Problem]:
+    """All that is wrong with one route by itself. A route of another hall is checked as one of this: what is
+    published goes to all ingresses."""
+    found = list(_unknown(route, names)) or list(_against(name, route, settings, names))
+    return [Problem("", f"route {name}", key, wrong, would_do, warning) for key, wrong, would_do, warning in found]
 
 
 def _names_in(routes: Mapping[str, RouteOptions]) -> Names:
--- a/tests/test_routes_parts.py
+++ b/tests/test_routes_parts.py
@@ -18,7 +18,10 @@
 from dockthread.routes import bounds as routes_bounds
 from dockthread.routes.bounds import Bounds, Facts, Rules, stricter
 from dockthread.routes.budget import SPAN, Budget
+from dockthread.routes.check import check_one
+from dockthread.routes.layers import Layers
 from dockthread.routes.limit import Limit, Queue
+from dockthread.routes.matcher import Numbers, file_places
 from dockthread.routes.model import Broken, explore
 from dockthread.routes.options import RouteOptions
 from dockthread.routes.table import Table
@@ -63,6 +66,54 @@
         assert table.find(facts) is scan
 
 
+@given(st.data())
+def test_a_published_route_is_judged_and_found_as_in_a_file_of_all_routes(data: st.DataObject) -> None:
+    """One by one over a file's routes: refused where the whole file would be, and else found as by the whole file's
+    table, also in lists that were made before."""
+    drawn = st.composite(options)()
+    settings = api.Settings(0, 1, (api.RequestClass(1.0, 4.0, effect=Effect.SAFE),) * 2, (api.Plan(),) * 2)
+    file = {f"f{n}": data.draw(drawn) for n in range(data.draw(st.integers(0, 3)))}
+    file = {name: o for name, o in file.items() if name not in dict(shadows_of(file))}
+    table = Table(NAMES, 0, 1)
+    layers = Layers(table, settings, NAMES)
+    layers.set_file(file, 0.0)
+    asked = [
+        Facts(c, p, w, f, 1 + f % 2, w) for c in (0, 1) for p in (0, 1) for w in (True, False) for f in (1, 2, 3, 4)
+    ]
+    for _ in range(data.draw(st.integers(1, 6))):
+        name = data.draw(st.sampled_from(["f0", "f1", "a", "b", "c"]))
+        before = merged(file, layers.published)
+        if data.draw(st.integers(0, 3)) == 0:
+            layers.remove(name, 0.0)
+        else:
+            route = data.draw(drawn)
+            reason = layers.put(name, route, 0.0)
+            after = merged(file, {**layers.published, name: route})
+            own = any(not one.warning for one in check_one(name, route, settings, NAMES))
+            assert bool(reason) == (own or any(name in pair for pair in shadows_of(after))), (reason, before, after)
+        whole = Table(NAMES, 0, 1)
+        whole.replace(merged(file, layers.published), 0.0)
+        assert [table.rules_for(facts) for facts in asked] == [whole.rules_for(facts) for facts in asked]
+    held = merged(file, layers.published)
+    layers.set_file({"f9": RouteOptions(), **file}, 0.0)
+    whole.replace(merged({"f9": RouteOptions(), **file}, layers.published), 0.0)
+    assert [table.rules_for(facts) for facts in asked] == [whole.rules_for(facts) for facts in asked], held
+
+
+def shadows_of(routes: dict[str, RouteOptions]) -> list[tuple[str, str]]:
+    """Every pair of which one leaves the other without requests."""
+    places = file_places(routes)
+    numbers = Numbers(NAMES)
+    found = [numbers.matcher(name, o, places[name]) for name, o in routes.items()]
+    return [(b.rules.name, a.rules.name) for i, a in enumerate(found) for b in found[i + 1 :] if a.covers(b)]
+
+
+def merged(file: dict[str, RouteOptions], published: dict[str, RouteOptions]) -> dict[str, RouteOptions]:
+    """As one file would have them."""
+    over = {name: published[name] for name in sorted(published.keys() - file.keys())}
+    return {**over, **{name: published.get(name, o) for name, o in file.items()}}
+
+
 def test_what_was_spent_carries_over_by_name_and_a_route_that_is_gone_drains() -> None:
     table = Table(NAMES, 0, 1)
     table.replace({"x": RouteOptions(limit="5"), "y": RouteOptions()}, 0.0)
