--- a/benchmarks/followers.py
+++ b/benchmarks/followers.py
@@ -19,7 +19,6 @@
 from dockthread.fleet.actions import Action, Apply, Send, Stored, Times
 from dockthread.fleet.agreement import Agreement
 
-
 VOTERS = tuple(f"voter{i}" for i in range(5))
 SIZES = (0, 100, 400, 1600)
 BODY = bytes(300)  # of one change: a route's section
