Measure what the length of the backends' list costs an ingress

An ingress has to start and serve with 24,000 backends listed, and nothing measured what a list of that length costs. benchmarks/list_size.py reads one as the watch does, takes it over, tells the module, and plays changes, housekeeping and decisions on a clock of its own, each size in a process of its own.

--- /dev/null
+++ b/benchmarks/list_size.py
@@ -0,0 +1,225 @@
+"""What the length of the list of backends costs an ingress: reading it, one change, housekeeping, memory, a decision.
+
+    python -m benchmarks.list_size [--sizes 200,2400,8000,24000] [--json FILE]
+
+Each size is measured in a process of its own, without sockets: the bytes of discovery go into the watch's parser, its
+list into the destination set, that into the module; the module's timers are rung on a clock of the benchmark's. Memory
+is the resident set by the system's accounting, in MB beyond the bare process. No part of CI.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import heapq
+import json
+import os
+import random
+import resource
+import statistics
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from dockthread import Gateway, api
+from dockthread.clock import ManualClock
+from dockthread.net.destination_set import DestinationSet, WatchError
+from dockthread.net.watch import WatchParser
+from dockthread.settings import Names
+
+SIZES = (200, 2_400, 8_000, 24_000)
+GATEWAYS = 400  # of the fleet: a decision draws candidates by it
+PIECE = 65_536  # bytes that the watch reads at once
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PAGE = os.sysconf("SC_PAGE_SIZE")
+CHANGES, DECISIONS, QUIET = 400, 2_000, 30.0  # changes told; arrivals; s of housekeeping without traffic
+NAMES = Names(("seat",), ("open",), ("hall-a", "hall-b", "hall-c"), ("type-a", "type-b"))
+SEAT = api.RequestClass(aim=1.5, deadline=4.0, effect=api.Effect.SAFE)
+
+
+def resident() -> float:
+    """MB of this process that are in memory."""
+    return int(Path("/proc/self/statm").read_text().split()[1]) * PAGE / 1e6
+
+
+def target(number: int, state: str = "active", boot_ms: int = 0) -> dict[str, Any]:
+    return {
+        "uid": f"s-{number:021x}",
+        "endpoint": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:6379",
+        "az": NAMES.zones[number % 3],
+        "model": NAMES.kinds[number % 2],
+        "pod_group": number // 12 % 100,
+        "state": state,
+        "capacity_hint": 1.0,
+        "boot_ms": boot_ms,
+    }
+
+
+def whole_list(size: int) -> dict[str, Any]:
+    """One backend in three says when it started, long ago."""
+    targets = [target(n, boot_ms=0 if n % 3 else 1_600_000_000_000 + n) for n in range(size)]
+    return {"rev": 1, "all": True, "targets": targets}
+
+
+class Module:
+    """A gateway whose timers ring on a clock of the benchmark's."""
+
+    def __init__(self, gateways: int) -> None:
+        safety = api.Safety(0.01, 1.0, 0.3, 10.0, 3.0, 3.0)
+        settings = api.Settings(
+            number=0, gateways=gateways, classes=(SEAT,), plans=(api.Plan(),), safety=safety, most_attempts=3
+        )
+        self.now, self.gateway = 100.0, Gateway(settings, seed=1, now=100.0)
+        self.timers: list[tuple[float, int]] = []
+        self.spent: list[float] = []
+
+    def tell(self, event: api.Event) -> list[api.Action]:
+        """One event, and in `spent` the seconds that it took."""
+        begun = time.perf_counter()
+        actions = self.gateway.handle(self.now, event)
+        self.spent.append(time.perf_counter() - begun)
+        for action in actions:
+            if isinstance(action, api.SetTimer):
+                heapq.heappush(self.timers, (action.at, action.token))
+        return actions
+
+    def run(self, until: float) -> None:
+        while self.timers and self.timers[0][0] <= until:
+            at, token = heapq.heappop(self.timers)
+            self.now = max(self.now, at)
+            self.tell(api.TimerFired(token))
+        self.now = until
+
+
+def parsed(size: int) -> tuple[Any, dict[str, float]]:
+    """The list as the parser yields it, cut as a socket cuts it; with the bytes, and the time of the longest piece."""
+    text, parser, found = json.dumps(whole_list(size)).encode(), WatchParser(), list[Any]()
+    figures = {"list_kb": len(text) / 1000, "taken": 1.0, "parse_ms": 0.0, "parse_longest_ms": 0.0}
+    list(parser.feed(HEAD))
+    for at in range(0, len(text), PIECE):
+        piece = text[at : at + PIECE]
+        begun = time.perf_counter()
+        try:
+            found += parser.feed(b"%x\r\n%b\r\n" % (len(piece), piece))
+        except WatchError:
+            figures["taken"] = 0.0
+            break
+        spent = (time.perf_counter() - begun) * 1000
+        figures["parse_ms"] += spent
+        figures["parse_longest_ms"] = max(figures["parse_longest_ms"], spent)
+    return found[0] if found else whole_list(size), figures
+
+
+def changes(module: Module, destinations: DestinationSet, size: int) -> dict[str, float]:
+    """One backend at a time leaves or comes back as a new process; figures of the destination set and the module."""
+    drawn, apart = random.Random(5), list[float]()
+    module.spent.clear()
+    for revision in range(2, 2 + CHANGES):
+        leaves, number = revision % 2 == 0, drawn.randrange(size)
+        said = target(number, "leaving" if leaves else "active", 0 if leaves else 1_700_000_000_000 + revision)
+        begun = time.perf_counter()
+        listed = destinations.apply({"rev": revision, "all": False, "targets": [said]})
+        apart.append(time.perf_counter() - begun)
+        module.tell(listed)
+    return {
+        "change_median_us": statistics.median(module.spent) * 1e6,
+        "change_mean_us": statistics.mean(module.spent) * 1e6,
+        "change_longest_us": max(module.spent) * 1e6,
+        "change_set_us": statistics.median(apart) * 1e6,
+    }
+
+
+def quiet(module: Module, destinations: DestinationSet) -> dict[str, float]:
+    """Housekeeping without traffic, in percent of a core: the module's, and each 250 ms the destination set's."""
+    module.run(module.now + 60.0)  # whoever was cold is warm
+    module.spent.clear()
+    begun, ticks = time.process_time(), int(QUIET / 0.25)
+    module.run(module.now + QUIET)
+    inside, begun = time.process_time() - begun, time.process_time()
+    for _ in range(ticks):
+        destinations.tidy()
+    outside = time.process_time() - begun
+    return {"module_idle_percent": inside / QUIET * 100, "set_idle_percent": outside / QUIET * 100}
+
+
+def decisions(module: Module) -> dict[str, float]:
+    """Arrivals at 200 a second, each answered after the next; one answer in 50 is a failure."""
+    took = list[float]()
+    for number in range(1, DECISIONS + 1):
+        module.run(module.now + 0.005)
+        module.spent.clear()
+        actions = module.tell(api.RequestArrived(number, 0, 0, 7, 4.0))
+        took.append(module.spent[0])
+        for action in actions:
+            if isinstance(action, api.Send):
+                outcome = api.Outcome.ERROR if number % 50 == 0 else api.Outcome.OK
+                module.tell(api.AttemptEnded(number, 0, action.worker, outcome, True, 0.3))
+    module.spent.clear()
+    begun = module.now
+    module.run(module.now + 10.0)
+    after = sum(module.spent) / (module.now - begun)
+    took.sort()
+    return {
+        "decision_median_us": statistics.median(took) * 1e6,
+        "decision_p99_us": took[int(len(took) * 0.99)] * 1e6,
+        "module_after_traffic_percent": after * 100,
+    }
+
+
+def measure(size: int) -> dict[str, float]:
+    gc.collect()
+    bare = resident()
+    said, figures = parsed(size)
+    figures["parse_mb"] = resident() - bare
+    clock = ManualClock()
+    destinations = DestinationSet(NAMES, clock)
+    begun = time.perf_counter()
+    listed = destinations.apply(said)
+    figures["apply_ms"] = (time.perf_counter() - begun) * 1000
+    del said
+    gc.collect()
+    figures["set_mb"] = (with_set := resident()) - bare
+    module = Module(GATEWAYS)
+    begun = time.perf_counter()
+    module.tell(listed)
+    figures["told_ms"] = (time.perf_counter() - begun) * 1000
+    del listed
+    gc.collect()
+    figures["module_mb"] = resident() - with_set
+    figures |= changes(module, destinations, size) | quiet(module, destinations) | decisions(module)
+    figures["bare_mb"], figures["end_mb"] = bare, resident()
+    figures["peak_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
+    return figures
+
+
+def table(rows: dict[int, dict[str, float]]) -> str:
+    width = max(len(name) for name in next(iter(rows.values())))
+    lines = [" " * width + "".join(f"{size:>12,}" for size in rows)]
+    for name in next(iter(rows.values())):
+        figures = "".join(f"{row[name]:>12,.2f}" for row in rows.values())
+        lines += [f"{name:<{width}}{figures}"]
+    return "\n".join(lines)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--sizes", default=",".join(map(str, SIZES)), help="lengths of the list, with commas")
+    parser.add_argument("--json", type=Path, help="where to write the figures")
+    parser.add_argument("--one", type=int, help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.one:
+        print(json.dumps(measure(options.one)))
+        return
+    rows: dict[int, dict[str, float]] = {}
+    for size in map(int, options.sizes.split(",")):
+        command = [sys.executable, "-m", "benchmarks.list_size", "--one", str(size)]
+        rows[size] = json.loads(subprocess.run(command, check=True, capture_output=True, text=True).stdout)
+    print(table(rows))
+    if options.json:
+        options.json.write_text(json.dumps(rows, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
