Keep the pool so that a change of the list and housekeeping cost by what moved

Each change of the list, and each round of housekeeping, built the list of ready workers and the sums of their shares anew and looked at every worker's decay: 33 ms for one change and 16.5% of a core at 24,000 backends.

module/pool.py keeps both: a worker has a place for as long as it is known and weighs nothing while it may not be sent to; only workers that warm up or have failures are visited in a round; answer times fade by the rounds gone by when they are looked at; the sums are made anew by a round that moved anything, and between rounds by one change in 1,024 places, which in a list of up to that many is every change, as before. Workers that are gone stand apart, so that forgetting looks at these alone. Repeats within a cell and routes of part of a long list, and the search for one that has room, no longer pass over the whole list.

--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from itertools import accumulate
 
 from dockthread.module import api
 from dockthread.module.api import NEVER_RAN, Effect, Outcome
@@ -33,10 +32,7 @@
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
 
     def _survey(self) -> None:
-        ready = [w for w in self.workers.values() if w.ready]
-        self.pool = (ready, list(accumulate(map(self._share, ready))))
-        self.sound = max(0.05, sum(1 - w.failed for w in ready) / max(1, len(ready)))
-        self.warm = any(self._warmth(w) >= 1.0 for w in ready)
+        self.pool.refresh()
         for request in list(self.held):
             call = self.calls[request]
             # No worker yet: the client is told while half of its time is left to try elsewhere.
@@ -115,7 +111,7 @@
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
             self.slow += FAIL_STEP * self._tells(w) * (self.tight - self.slow)
             w.full_for = max(FULL_FOR, min(2 * w.full_for, FULL_MOST))
-            w.full_until[c.plan] = self.now + w.full_for
+            w.full(c.plan, self.now + w.full_for)
         elif e.outcome in (Outcome.ERROR, Outcome.UNREACHABLE, Outcome.RESET):
             w.failed += self.blame * (1 - w.failed)
         if call is None:
@@ -126,8 +122,7 @@
             call.ask.route.ended(e.attempt, e.outcome, e.took, self.now)
         if e.outcome is Outcome.OK:
             usual, deviation = self.usual[call.ask.request_class]
-            w.times.answered(pace := min(MOST_PACE, e.took / usual / attempt.crowd))
-            w.kin.answered(pace)
+            w.took(min(MOST_PACE, e.took / usual / attempt.crowd))
             self.usual[call.ask.request_class] = smoothed(usual, deviation, e.took, SMOOTH)
         if self.s.settles_units and e.true_units:
             more_units = e.true_units - call.ask.units
@@ -151,7 +146,7 @@
     def _tells(self, w: Worker) -> float:
         """How much a worker's answer says of what the next request meets: one that is worse than the others
         is hardly drawn, and its late answers must not refuse what the others have room for."""
-        return min(1.0, ((1 - w.failed) / self.sound) ** 2)
+        return min(1.0, ((1 - w.failed) / max(0.05, self.pool.sound)) ** 2)
 
     def _usually(self) -> float:
         """The usual answer time, of a class as of any other."""
--- a/dockthread/module/belief.py
+++ b/dockthread/module/belief.py
@@ -46,20 +46,43 @@
         self.others += max(KIN_STEP, 1 / self.reports) * (others - self.others)
 
 
-class Pace:
-    """One worker's answer time in usual ones, leaning on its kind's."""
+class Rounds:
+    """Rounds of housekeeping gone by, each of which leaves a part of what answer times told."""
 
-    __slots__ = ("mean", "seen")
+    __slots__ = ("count", "part")
 
     def __init__(self) -> None:
-        self.mean, self.seen = 1.0, 0.0
+        self.count, self.part = 0, 1.0
+
+    def end(self, part: float) -> None:
+        self.count, self.part = self.count + 1, part
+
+    def left(self, since: int) -> float:
+        return self.part ** (self.count - since)
+
+
+class Pace:
+    """One worker's answer time in usual ones, leaning on its kind's. It fades by the rounds gone by whenever it is
+    looked at, for most workers of a long list have one and few are looked at in a round."""
+
+    __slots__ = ("_at", "_mean", "_rounds", "_seen")
+
+    def __init__(self, rounds: Rounds) -> None:
+        self._mean, self._seen = 1.0, 0.0
+        self._rounds, self._at = rounds, rounds.count
+
+    @property
+    def seen(self) -> float:
+        """Answers that it counts as."""
+        return self._seen * self._rounds.left(self._at)
 
     def answered(self, pace: float) -> None:
-        self.seen = min(self.seen + 1, 1 / PACE_STEP)
-        self.mean += (pace - self.mean) / self.seen
+        self._seen, self._at = min(self.seen + 1, 1 / PACE_STEP), self._rounds.count
+        self._mean += (pace - self._mean) / self._seen
 
     def believed(self, kin: Kin) -> float:
-        return (IMAGINED * kin.pace + self.seen * self.mean) / (IMAGINED + self.seen)
+        seen = self.seen
+        return (IMAGINED * kin.pace + seen * self._mean) / (IMAGINED + seen)
 
 
 class Crowds:
--- a/dockthread/module/choice.py
+++ b/dockthread/module/choice.py
@@ -4,7 +4,8 @@
 
 import math
 
-from dockthread.module.api import Effect, Group
+from dockthread.module.api import Effect
+from dockthread.module.pool import NOBODY
 from dockthread.module.routed import Routed
 from dockthread.module.state import NEVER, Call, Worker
 
@@ -19,22 +20,21 @@
         of a first attempt's drawn only as many may be cold as times what it can do a cold worker stands, less
         one that is kept for chance, whatever the others have no room for."""
         ran, used = call.ran(), {a.worker for a in call.attempts}
-        ready, sums = self._subset(call, self.pool)
+        pool = self._subset(call, self.pool)
         if ran is not None and (effect := self._effect(call)) is not Effect.SAFE:  # rule 2
             home, ends = self.workers[ran.worker].entry, ran.sent + call.rules.window - self.s.tick
-            place = {Group.ALL: (), Group.ZONE: ("zone",), Group.CELL: ("zone", "cell")}[call.rules.group]
-            ready = ready if self.now < ends and effect is Effect.KEYED else []
-            ready = [w for w in ready if all(getattr(w.entry, p) == getattr(home, p) for p in place)]
-        elif ready:
-            count = max(2, CHOICES * len(ready) // self.s.gateways)
-            drawn = self.rng.choices(ready, cum_weights=sums, k=count)
+            repeats = self.now < ends and effect is Effect.KEYED
+            pool = self._near(call, pool, home) if repeats else NOBODY
+        elif pool:
+            count = max(2, CHOICES * len(pool) // self.s.gateways)
+            drawn = pool.draw(self.rng, count)
             cold = 0 if call.attempts else max(1, int(self.s.safety.fall_multiple) - 1)
             free = [w for i, w in enumerate(drawn) if self._fits(w, call, i < cold)]
             if free := [w for w in free if w.entry.worker not in used]:
                 return min(free, key=self._cost)
         # Full, or draining unannounced: its emptiness would draw all. When all are, only first attempts go.
-        roomy = [w for w in ready if self._fits(w, call, not self.warm)]
-        ready = roomy if roomy or call.attempts else [w for w in ready if w.ready]
+        roomy = self._roomy(call, pool)
+        ready = roomy if roomy or call.attempts else list(pool.some(self.rng))
         ready = [w for w in ready if w.entry.worker not in used] or ([] if ran else ready)
         return self.rng.choices(ready, [self._share(w) for w in ready])[0] if ready else None
 
--- /dev/null
+++ b/dockthread/module/pool.py
@@ -0,0 +1,230 @@
+"""The workers that attempts are drawn from, and their summed shares. Decides nothing.
+
+Theory of operation. A worker keeps a place in the order of the list for as long as it is known, and weighs nothing
+while nothing may be sent there, so that a change of the list touches one place. A share moves by itself only while
+its worker warms up or has failures that fade: those few are kept apart (`restless`) and weighed anew at each round of
+housekeeping; the others stay as they are. The running sums, by which `random.choices` draws with a binary search, are
+summed up again by a round that moved anything, and between rounds by one change in `SLOTS_PER_CHANGE` places: at once
+in a list of up to that many, where it costs little, and in a longer one so seldom that a change costs the same in it.
+Until then a longer list is drawn from by slightly old shares; readiness is always read off the worker.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from itertools import accumulate
+from typing import TYPE_CHECKING, Protocol
+
+from dockthread.module.api import Group, WorkerEntry, WorkerState
+from dockthread.module.belief import Rounds
+
+if TYPE_CHECKING:
+    from dockthread.module.state import Worker
+
+SLOTS_PER_CHANGE = 1024  # places for each of which one change has all sums made anew, about 20 us
+FADED = 1e-18  # a failed part below this changes no sum with 1 in double precision: it is none
+SCANNED = 1024  # workers that are looked through for a few; of more, so many drawn evenly are, a quarter of it
+TRIES = 4  # draws from all for one of a part of them
+VACANT_PART = 1 / 8  # of the places: left by workers that are forgotten, from which they are closed up
+
+
+class Drawable(Protocol):
+    """Workers to draw from by their shares."""
+
+    def __len__(self) -> int:
+        """How many are ready."""
+        ...
+
+    def __iter__(self) -> Iterator[Worker]: ...
+
+    def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        """By their shares, as many or fewer."""
+        ...
+
+    def some(self, rng: random.Random) -> Iterable[Worker]:
+        """Evenly, some of many, and all of few."""
+        ...
+
+
+class Subset:
+    """Some workers, all ready, weighed once."""
+
+    __slots__ = ("_sums", "_workers")
+
+    def __init__(self, workers: list[Worker], share: Callable[[Worker], float]) -> None:
+        self._workers, self._sums = workers, list(accumulate(map(share, workers)))
+
+    def __len__(self) -> int:
+        return len(self._workers)
+
+    def __iter__(self) -> Iterator[Worker]:
+        return iter(self._workers)
+
+    def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        return rng.choices(self._workers, cum_weights=self._sums, k=count)
+
+    def some(self, rng: random.Random) -> Iterable[Worker]:
+        return self._workers
+
+
+class Sifted:
+    """The part of a long list whose entries fit, drawn from all of it. Its length is that of the whole list, for of
+    as many drawn from the whole those that fit are as many as its part would be."""
+
+    __slots__ = ("_fits", "_pool")
+
+    def __init__(self, pool: Drawable, fits: Callable[[WorkerEntry], bool]) -> None:
+        self._pool, self._fits = pool, fits
+
+    def __len__(self) -> int:
+        return len(self._pool)
+
+    def __iter__(self) -> Iterator[Worker]:
+        return (worker for worker in self._pool if self._fits(worker.entry))
+
+    def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        for _ in range(TRIES):
+            if drawn := [worker for worker in self._pool.draw(rng, count) if self._fits(worker.entry)]:
+                return drawn
+        return []
+
+    def some(self, rng: random.Random) -> Iterable[Worker]:
+        return [worker for worker in self._pool.some(rng) if self._fits(worker.entry)]
+
+
+NOBODY = Subset([], lambda worker: 0.0)
+
+
+class Pool:
+    """All workers listed. `share`: the chance of one to be drawn; `warmth`: 1 for one that is warm."""
+
+    def __init__(self, share: Callable[[Worker], float], warmth: Callable[[Worker], float]) -> None:
+        self._share, self._warmth = share, warmth
+        self._slots: list[Worker] = []
+        self._shares: list[float] = []
+        self._sums: list[float] = []
+        self._cells: dict[tuple[int, int], dict[int, Worker]] = {}  # by zone and cell, all that are known
+        self._parts: Counter[tuple[int, int]] = Counter()  # ready ones by zone and kind
+        self._ready = self._vacant = 0
+        self._weighed = 0  # since the sums were made
+        self._due = False  # a round of housekeeping went by since
+        self.rounds = Rounds()
+        self.restless: dict[int, Worker] = {}
+        self.sound = 1.0  # mean part of the ready ones' outcomes that were no failures
+        self.warm = False  # whether a ready one is warm
+        self.visits = 0  # workers looked at one by one, ever: the work that changes and housekeeping make
+
+    def __len__(self) -> int:
+        return self._ready
+
+    def __iter__(self) -> Iterator[Worker]:
+        return (worker for worker in self._slots if worker.ready)
+
+    def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        if not self._sums or not self._sums[-1]:
+            return []
+        return rng.choices(self._slots, cum_weights=self._sums, k=count)
+
+    def some(self, rng: random.Random) -> Iterable[Worker]:
+        if self._ready <= SCANNED:
+            return iter(self)
+        return (worker for worker in rng.choices(self._slots, k=SCANNED // 4) if worker.ready)
+
+    def near(self, home: WorkerEntry, group: Group) -> Drawable:
+        """The workers of a group, beside one."""
+        if group is Group.ALL:
+            return self
+        if group is Group.CELL:
+            cell = self._cells.get((home.zone, home.cell), {})
+            return Subset(sorted((w for w in cell.values() if w.ready), key=lambda w: w.place), self._share)
+        zone = home.zone
+        return Sifted(self, lambda entry: entry.zone == zone)
+
+    def sifted(self, fits: Callable[[WorkerEntry], bool]) -> Drawable | None:
+        """Those whose zone and kind fit; None where no such worker is ready."""
+        if self._ready <= SCANNED:
+            fitting = [worker for worker in self if fits(worker.entry)]
+            return Subset(fitting, self._share) if fitting else None
+        parts = (WorkerEntry(0, WorkerState.READY, *part) for part, count in self._parts.items() if count)
+        return Sifted(self, fits) if any(map(fits, parts)) else None
+
+    def add(self, worker: Worker) -> None:
+        """One that was not known before. It weighs nothing yet."""
+        worker.place = len(self._slots)
+        self._slots.append(worker)
+        self._shares.append(0.0)
+        self._sums.append(self._sums[-1] if self._sums else 0.0)
+        self._cells.setdefault((worker.entry.zone, worker.entry.cell), {})[worker.entry.worker] = worker
+
+    def forget(self, worker: Worker) -> None:
+        """One that is not ready, and will not be again."""
+        self.restless.pop(worker.entry.worker, None)
+        self._leave_cell(worker)
+        self._vacant += 1
+        worker.place = -1
+
+    def relist(self, worker: Worker, entry: WorkerEntry, ready: bool) -> None:
+        """What is listed of it now, and whether it may be drawn."""
+        old = worker.entry
+        self._parts[old.zone, old.kind] -= worker.ready
+        self._parts[entry.zone, entry.kind] += ready
+        self._ready += ready - worker.ready
+        if (old.zone, old.cell) != (entry.zone, entry.cell):
+            self._leave_cell(worker)
+            self._cells.setdefault((entry.zone, entry.cell), {})[entry.worker] = worker
+        worker.entry, worker.ready = entry, ready
+        self.restless[entry.worker] = worker
+        self._weigh(worker)
+
+    def _leave_cell(self, worker: Worker) -> None:
+        key = worker.entry.zone, worker.entry.cell
+        del self._cells[key][worker.entry.worker]
+        if not self._cells[key]:
+            del self._cells[key]
+
+    def fade(self, failures: float, paces: float) -> None:
+        """A round of housekeeping: these parts are left of what is known of failures, and of answer times."""
+        self._due = True
+        self.rounds.end(paces)
+        for worker in self.restless.values():
+            worker.fade(failures, FADED)
+        self.visits += len(self.restless)
+
+    def refresh(self) -> None:
+        """Weigh anew and sum up, if it is time."""
+        if not self._due and (self._weighed + 1) * SLOTS_PER_CHANGE <= len(self._slots) - self._vacant:
+            return
+        self._due = False
+        if self._vacant > len(self._slots) * VACANT_PART:
+            self._close_up()
+        cold, failed = 0, 0.0
+        for worker in list(self.restless.values()):
+            warm = self._weigh(worker)
+            if worker.ready:
+                cold += not warm
+                failed += worker.failed
+        if self._weighed:
+            self._weighed, self._sums = 0, list(accumulate(self._shares))
+        self.sound = (self._ready - failed) / max(1, self._ready)
+        self.warm = self._ready > cold
+
+    def _weigh(self, worker: Worker) -> bool:
+        """Whether it is warm. One with nothing that moves by itself is visited no more."""
+        self.visits += 1
+        share = self._share(worker) if worker.ready else 0.0
+        warm = not worker.ready or self._warmth(worker) >= 1.0
+        if share != self._shares[worker.place]:
+            self._shares[worker.place] = share
+            self._weighed += 1
+        if warm and not worker.failed:
+            del self.restless[worker.entry.worker]
+        return warm
+
+    def _close_up(self) -> None:
+        self._slots = [worker for worker in self._slots if worker.place >= 0]
+        self._shares = [self._shares[worker.place] for worker in self._slots]
+        for place, worker in enumerate(self._slots):
+            worker.place = place
+        self._vacant, self._sums = 0, list(accumulate(self._shares))
--- a/dockthread/module/routed.py
+++ b/dockthread/module/routed.py
@@ -5,11 +5,11 @@
 
 from __future__ import annotations
 
-from itertools import accumulate
 from math import inf
 
 from dockthread.module import api
 from dockthread.module.mail import Mail
+from dockthread.module.pool import Drawable, Sifted
 from dockthread.module.state import Attempt, Call, Worker
 
 STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
@@ -18,7 +18,7 @@
 class Routed(Mail):
     """What the parts that decide ask of a request's route. Without a route each answer is what it was before."""
 
-    def _share(self, w: Worker) -> float:
+    def _fits(self, w: Worker, call: Call, cold: bool) -> bool:
         raise NotImplementedError
 
     def _try(self, request: int, call: Call) -> bool:
@@ -35,13 +35,23 @@
         now = self.s.classes[call.ask.request_class].effect
         return max(call.rules.effect, now, key=STRICTNESS.index)
 
-    def _subset(self, call: Call, pool: tuple[list[Worker], list[float]]) -> tuple[list[Worker], list[float]]:
+    def _subset(self, call: Call, pool: Drawable) -> Drawable:
         """The workers of the route's share; all of them where it has none that is ready."""
         route = call.ask.route
         if route is None or not route.narrow:
             return pool
-        mine = [w for w in pool[0] if route.fits(w.entry)]
-        return (mine, list(accumulate(map(self._share, mine)))) if mine else pool
+        return self.pool.sifted(route.fits) or pool
+
+    def _near(self, call: Call, pool: Drawable, home: api.WorkerEntry) -> Drawable:
+        """Those of a subset that drop the repeats of what ran at `home`."""
+        near, route = self.pool.near(home, call.rules.group), call.ask.route
+        return near if pool is self.pool or route is None else Sifted(near, route.fits)
+
+    def _roomy(self, call: Call, pool: Drawable) -> list[Worker]:
+        """Those that have room, warm ones unless none is. Of many, those among some, unless none of these has any."""
+        cold = not self.pool.warm
+        roomy = [w for w in pool.some(self.rng) if self._fits(w, call, cold)]
+        return roomy or [w for w in pool if self._fits(w, call, cold)]
 
     def _enters(self, ask: api.RequestArrived, call: Call) -> bool:
         """Whether a request is inside its route's limit. Else it waits, or it or a cheaper one is refused."""
--- a/dockthread/module/rules.py
+++ b/dockthread/module/rules.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -13,8 +12,7 @@
 from dockthread.module.admission import Admission
 from dockthread.module.api import ListKind, WorkerState
 from dockthread.module.attempts import DONE_OVER, TICK
-from dockthread.module.belief import Kin, scarcity
-from dockthread.module.state import Worker
+from dockthread.module.belief import scarcity
 
 PACE_HALF = 15.0  # s in which what its answer times told counts half
 FADE_HALF = 5.0  # s in which evidence against a worker halves, so that it returns
@@ -54,9 +52,7 @@
         self.timer(self.now + TICK, self._tick)
         self.done *= 1 - TICK / (DONE_OVER * self.s.safety.fall_time + TICK)
         self.slow *= 0.5 ** (TICK / self.tight)  # it tells of the moment: a jam that is gone must not refuse
-        for w in self.workers.values():
-            w.failed *= 0.5 ** (TICK / self.fade)
-            w.times.seen *= 0.5 ** (TICK / PACE_HALF)
+        self.pool.fade(0.5 ** (TICK / self.fade), 0.5 ** (TICK / PACE_HALF))
         self.tidy()
         self._beats()
         self._survey()
@@ -66,14 +62,11 @@
             again = self.now + self.s.safety.ask_within / 10
             self.timer(again, lambda: self.actions.append(api.AskForList()))
         elif e.kind is not ListKind.CHANGES:
-            for w in self.workers.values():
-                w.ready, w.gone = False, min(w.gone, self.now)
+            for w in self.unlisted(e.entries):
+                self.relist(w, w.entry, WorkerState.GONE)
         for entry in e.entries:
-            kin = self.kin.setdefault(entry.kind, Kin())
-            w = self.workers.setdefault(entry.worker, Worker(entry, kin))
-            self.codes[w.code] = w
+            w = self.known(entry)
             if entry.started > w.entry.started:
                 w.renew()
-            w.gone = math.inf if entry.state is not WorkerState.GONE else min(w.gone, self.now)
-            w.entry, w.ready = entry, entry.state is WorkerState.READY  # rule 3: nothing new from here on
+            self.relist(w, entry, entry.state)  # rule 3: nothing new from here on
         self._survey()
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -12,10 +12,12 @@
 from dockthread.module.belief import Kin, Pace
 from dockthread.module.ledger import Store
 from dockthread.module.message import Report, whole, worker_code
+from dockthread.module.pool import Pool
 
 NEVER = -1e9  # a time long ago
 REPORT_HALF, MEAN_HALF = 0.4, 8.0  # s in which a report's news halves; in which what was smoothed before does
 TIDY, KEPT = 2.0, 30.0  # s between rounds of forgetting; for which a worker that is gone is kept
+NOT_FULL: dict[int, float] = {}  # of every worker that never turned a request away; never written to
 IDLE, MANY = 120.0, 4096  # s after which customers whom peers may name are forgotten, once so many
 
 
@@ -43,26 +45,69 @@
 
 
 class Worker:
-    def __init__(self, entry: api.WorkerEntry, kin: Kin) -> None:
+    """One listed worker. There may be tens of thousands: what most never have is made when it is first needed."""
+
+    __slots__ = (
+        "_failed", "_times", "answered", "entry", "fresh", "full_for", "full_until", "gone", "kin", "others",
+        "others_mean", "out", "place", "pool", "ready", "report", "report_at", "spare", "spare_at",
+    )  # fmt: skip
+
+    def __init__(self, entry: api.WorkerEntry, kin: Kin, pool: Pool) -> None:
         self.kin = kin  # what is known of its kind
-        self.entry, self.ready, self.out = entry, True, 0  # attempts out, late ones too
+        self.pool, self.place = pool, -1
+        self.entry, self.ready, self.out = entry, False, 0  # attempts out, late ones too
         self.gone = inf  # since when it is not listed
-        self.code = worker_code(entry.worker)  # in messages
-        self.failed = 0.0  # decayed part of its outcomes that were failures or missing, here or at a peer
-        self.answered = NEVER
-        self.full_for = 0.0
-        self.full_until: dict[int, float] = {}  # by plan
-        self.times = Pace()
-        self.spare, self.spare_at = 0, NEVER  # connections left idle by its answers, and when the last was
         self.report: tuple[float, ...] = ()  # the last load report, since when it is known
-        self.report_at = NEVER
+        self._clear()
         self.fresh = bool(entry.started)  # it started not long ago: empty, until it says otherwise
+
+    def _clear(self) -> None:
+        self._failed, self.answered, self.full_for = 0.0, NEVER, 0.0
+        self.full_until = NOT_FULL  # by plan
+        self._times: Pace | None = None
+        self.spare, self.spare_at = 0, NEVER  # connections left idle by its answers, and when the last was
+        self.report_at = NEVER
         self.others, self.others_mean = 0.0, 0.0  # other gateways' requests, by it and smoothed
 
+    @property
+    def code(self) -> bytes:
+        """In messages."""
+        return worker_code(self.entry.worker)
+
+    @property
+    def failed(self) -> float:
+        """Decayed part of its outcomes that were failures or missing, here or at a peer."""
+        return self._failed
+
+    @failed.setter
+    def failed(self, part: float) -> None:
+        self._failed = part
+        if part and self.place >= 0:
+            self.pool.restless[self.entry.worker] = self
+
+    def fade(self, part: float, least: float) -> None:
+        """This part is left of its failures; below `least` none."""
+        self._failed *= part
+        if self._failed < least:
+            self._failed = 0.0
+
     @property
     def pace(self) -> float:
         """Answer time, in usual ones of its class."""
-        return self.times.believed(self.kin)
+        return self.kin.pace if self._times is None else self._times.believed(self.kin)
+
+    def took(self, pace: float) -> None:
+        """An answer's time, in usual ones of its class."""
+        if self._times is None:
+            self._times = Pace(self.pool.rounds)
+        self._times.answered(pace)
+        self.kin.answered(pace)
+
+    def full(self, plan: int, until: float) -> None:
+        """It has no room for a plan."""
+        if self.full_until is NOT_FULL:
+            self.full_until = {}
+        self.full_until[plan] = until
 
     def hear(self, report: tuple[float, ...], others: float | None, now: float) -> None:
         """Take over a new load report, that tells of `others` here; None where it tells nothing."""
@@ -90,9 +135,8 @@
 
     def renew(self) -> None:
         """A new process: what was known of the old one is void."""
-        self.failed, self.answered, self.full_for, self.full_until = 0.0, NEVER, 0.0, {}
-        self.times, self.others, self.others_mean = Pace(), 0.0, 0.0
-        self.spare, self.fresh, self.report_at = 0, True, NEVER
+        self._clear()
+        self.fresh = True
 
 
 class Customer:
@@ -145,9 +189,8 @@
         self.kin: dict[int, Kin] = {}  # by kind
         self.codes: dict[bytes, Worker] = {}
         self.kept = settings.conn_idle * api.IDLE_PART  # for which a connection may stand idle
-        self.pool: tuple[list[Worker], list[float]] = ([], [])  # to draw from, with summed chances
-        self.sound = 1.0
-        self.warm = False  # whether there is a warm worker
+        self.leaving: dict[int, Worker] = {}  # those that are not listed any more
+        self.pool = Pool(self._share, self._warmth)
         self.slow, self.out, self.done = 0.0, 0, 0.0  # answer time of late; attempts out, not late; answers
         self.tidied = now
         self.failures, self.mute = 0.0, NEVER  # failed calls to the counter in a row; until when none is made
@@ -161,6 +204,37 @@
         self.token = 0
         self.timers: dict[int, tuple[Callable[..., None], tuple[int, ...]]] = {}
 
+    def _share(self, w: Worker) -> float:
+        raise NotImplementedError
+
+    def _warmth(self, w: Worker) -> float:
+        raise NotImplementedError
+
+    def known(self, entry: api.WorkerEntry) -> Worker:
+        """The worker of an entry, a new one for a number never listed before."""
+        if (w := self.workers.get(entry.worker)) is None:
+            kin = self.kin.setdefault(entry.kind, Kin())
+            w = self.workers[entry.worker] = Worker(entry, kin, self.pool)
+            self.pool.add(w)
+            if self.s.may_tell:
+                self.codes[w.code] = w
+        return w
+
+    def unlisted(self, entries: tuple[api.WorkerEntry, ...]) -> list[Worker]:
+        """Workers that a whole list leaves out."""
+        listed = {entry.worker for entry in entries}
+        return [w for number, w in self.workers.items() if number not in listed]
+
+    def relist(self, w: Worker, entry: api.WorkerEntry, state: api.WorkerState) -> None:
+        """What is listed of it, and whether it may be drawn from now on, and since when it is gone."""
+        if state is api.WorkerState.GONE:
+            w.gone = min(w.gone, self.now)
+            self.leaving[w.entry.worker] = w
+        elif w.gone != inf:
+            w.gone = inf
+            del self.leaving[w.entry.worker]
+        self.pool.relist(w, entry, state is api.WorkerState.READY)
+
     def no(self, why: str) -> bool:
         self.why = why
         return False
@@ -174,10 +248,11 @@
         if self.now - self.tidied < TIDY:
             return
         self.tidied = self.now
-        for number, w in list(self.workers.items()):
+        for number, w in list(self.leaving.items()):
             if self.now - w.gone > KEPT and not w.out:
-                del self.workers[number]
+                del self.workers[number], self.leaving[number]
                 self.codes.pop(w.code, None)
+                self.pool.forget(w)
         if not self.s.may_tell:
             plans = self.s.plans
             self.customers = {k: c for k, c in self.customers.items() if not c.spent_none(plans[c.plan], self.now)}
