Take a list of 24,000 backends, entry by entry as it is parsed

A whole list of 24,000 backends is 4.28 MB and was refused as an object that does not end (4 MB), and one that was taken stood in memory as text parsed into members, then as what was read of them, and then in the set.

The parser hands an object's targets to the destination set's reader piece by piece while the list still comes in, in the place of their members, so that only what was read of them stays, and a piece holds the loop for the time of its own entries. The bound on an object is that of 50,000 backends of 400 bytes; an object in which no entry ends within 4 MB is refused as before, which bounds what it may take parsed.

--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from math import inf, isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 from dockthread import api
 from dockthread.clock import Clock
@@ -23,6 +23,22 @@
     """Discovery said something that is not on the protocol's page."""
 
 
+class Target(NamedTuple):
+    """One backend as discovery lists it, in the module's words."""
+
+    uid: str
+    endpoint: Address
+    state: api.WorkerState
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+    started: float  # seconds on the ingress's clock, 0 for long ago
+
+    def entry(self, worker: int) -> api.WorkerEntry:
+        return api.WorkerEntry(worker, self.state, self.zone, self.kind, self.cell, self.weight, self.started)
+
+
 @dataclass(slots=True)
 class Destination:
     worker: int
@@ -55,6 +71,7 @@
         self._clock = clock
         self._by_uid: dict[str, Destination] = {}
         self.by_worker: dict[int, Destination] = {}
+        self._gone: dict[int, Destination] = {}  # those of them that are not listed any more
         self._numbers = 0
         self.revision = 0
         self.moved: Callable[[Destination], None] = lambda destination: None
@@ -62,12 +79,13 @@
 
     @property
     def listed(self) -> int:
-        return sum(d.state is not api.WorkerState.GONE for d in self.by_worker.values())
+        return len(self.by_worker) - len(self._gone)
 
     @property
     def avoided(self) -> int:
         """Listed destinations that are left out by hand."""
-        return sum(d.state is not api.WorkerState.GONE and d.uid in self.held for d in self.by_worker.values())
+        known = (self._by_uid.get(uid) for uid in self.held)
+        return sum(d is not None and d.state is not api.WorkerState.GONE for d in known)
 
     def hold(self, uid: str, held: bool, now: float) -> api.WorkersListed | None:
         """Leave a uid out by hand, or let it serve again; None where no such uid is known. A uid let back has
@@ -109,8 +127,8 @@
     def tidy(self) -> None:
         """Forget those long gone: on a long day there are ever new ones."""
         oldest = self._clock.now() - KEPT
-        for destination in [d for d in self.by_worker.values() if d.gone < oldest]:
-            del self.by_worker[destination.worker], self._by_uid[destination.uid]
+        for destination in [d for d in self._gone.values() if d.gone < oldest]:
+            del self._gone[destination.worker], self.by_worker[destination.worker], self._by_uid[destination.uid]
 
     def apply(self, message: Any, cached: bool = False) -> api.WorkersListed:
         """Take over a list or its changes, and say it in the module's words. Nothing of a malformed message
@@ -118,44 +136,54 @@
         try:
             full = bool(message["all"])
             revision = int(message["rev"])
-            read = [self._read(target) for target in message["targets"]]
-        except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
+            targets = [one if isinstance(one, Target) else self.read(one) for one in message["targets"]]
+        except (KeyError, TypeError, ValueError) as error:
             raise WatchError(f"not a list of destinations: {error!r}") from error
-        entries = tuple(self._take(*one, revision) for one in read)
+        entries = tuple([self._take(target, revision) for target in targets])
         self.revision = revision
         if full:
-            listed = {entry.worker for entry in entries}
-            for destination in self.by_worker.values():
-                if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
-                    destination.state, destination.gone = api.WorkerState.GONE, self._clock.now()
-                    if destination.told is not None:
-                        destination.told = replace(destination.told, state=api.WorkerState.GONE)
-                    self.moved(destination)
+            self._leave_out({entry.worker for entry in entries})
         kind = api.ListKind.FULL if full else api.ListKind.CHANGES
         return api.WorkersListed(api.ListKind.CACHED if cached else kind, entries)
 
-    def _read(self, target: dict[str, Any]) -> tuple[str, Address, api.WorkerEntry]:
-        uid = target["uid"]
-        entry = api.WorkerEntry(
-            worker=-1,
-            state=STATES[target["state"]],
-            zone=self._zones.get(target.get("az", ""), len(self._zones)),
-            kind=self._kinds.get(target.get("model", ""), len(self._kinds)),
-            cell=int(target.get("pod_group", 0)),
-            weight=float(target.get("capacity_hint", 1.0)),
-            started=self._clock.from_unix(float(target.get("boot_ms", 0))) / 1000.0,
-        )
-        if not isinstance(uid, str):
-            raise TypeError("a uid is not a string")
-        if not (isfinite(entry.weight) and isfinite(entry.started)):
-            raise ValueError("a figure is not finite")
-        return uid, Address.parse(target["endpoint"]), entry
-
-    def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry, revision: int) -> api.WorkerEntry:
+    def _leave_out(self, listed: set[int]) -> None:
+        """Whoever a whole list does not name is gone."""
+        for destination in self.by_worker.values():
+            if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
+                destination.state, destination.gone = api.WorkerState.GONE, self._clock.now()
+                self._gone[destination.worker] = destination
+                if destination.told is not None:
+                    destination.told = replace(destination.told, state=api.WorkerState.GONE)
+                self.moved(destination)
+
+    def read(self, said: Any) -> Target:
+        """One entry of a list. Raises WatchError where it is malformed."""
+        try:
+            uid, weight = said["uid"], float(said.get("capacity_hint", 1.0))
+            boot = float(said.get("boot_ms", 0))
+            if not isinstance(uid, str):
+                raise TypeError("a uid is not a string")
+            if not (isfinite(weight) and isfinite(boot)):
+                raise ValueError("a figure is not finite")
+            return Target(
+                uid,
+                Address.parse(said["endpoint"]),
+                STATES[said["state"]],
+                self._zones.get(said.get("az", ""), len(self._zones)),
+                self._kinds.get(said.get("model", ""), len(self._kinds)),
+                int(said.get("pod_group", 0)),
+                1.0 if weight == 1.0 else weight,  # one object for all
+                self._clock.from_unix(boot) / 1000.0 if boot else 0.0,
+            )
+        except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
+            raise WatchError(f"not a list of destinations: {error!r}") from error
+
+    def _take(self, read: Target, revision: int) -> api.WorkerEntry:
+        uid, endpoint = read.uid, read.endpoint
         known = self._by_uid.get(uid)
         if known is None:
             worker = self._numbers = self._numbers + 1
-            known = Destination(worker, uid, endpoint, read.state, read.started * 1000.0)
+            known = Destination(worker, uid, endpoint, read.state, read.started * 1000.0 if read.started else 0.0)
             self._by_uid[uid] = self.by_worker[worker] = known
         elif (
             revision < known.revision
@@ -174,7 +202,9 @@
         known.revision = revision
         gone = known.state is api.WorkerState.GONE
         known.gone = min(known.gone, self._clock.now()) if gone else inf
-        known.told = api.WorkerEntry(
-            known.worker, read.state, read.zone, read.kind, read.cell, read.weight, read.started
-        )
+        if gone:
+            self._gone[known.worker] = known
+        else:
+            self._gone.pop(known.worker, None)
+        known.told = read.entry(known.worker)
         return self._masked(known.told, uid)
--- a/dockthread/net/watch.py
+++ b/dockthread/net/watch.py
@@ -29,7 +29,9 @@
 from dockthread.observer import Observer
 from dockthread.settings import Address
 
-MOST_OBJECT = 4 * 1024 * 1024  # bytes of one object of a watch
+MOST_BACKENDS, ENTRY_BYTES = 50_000, 400  # in one list: twice the longest planned; a backend takes 178 bytes of it
+MOST_OBJECT = MOST_BACKENDS * ENTRY_BYTES  # bytes of one object of a watch, entries of a list among them
+MOST_UNREAD = 4 * 1024 * 1024  # bytes of one object in which no entry ended; parsed they may take ten times as much
 SILENCE = 3_500.0  # a watch says something every 2 s; one silent for longer is dead
 LEAST_PAUSE = 100.0  # between calls on an agent that refuses them
 HALF = 6_000.0  # for an object that has begun to be whole: from then on what it holds counts as told
@@ -37,13 +39,24 @@
 
 class WatchParser:
     """Bytes of one watch's HTTP answer in, JSON objects out, however they are laid out and cut; what is blank
-    between them is a sign of life."""
+    between them is a sign of life.
 
-    def __init__(self) -> None:
+    `read` takes the entries of an object's `targets` while the object still comes in, each in the place of its
+    members: of a long list these never stand in memory together, and to read them holds the loop for no longer than
+    one piece of it."""
+
+    def __init__(self, read: Callable[[Any], Any] | None = None) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._found = ijson.sendable_list()
-        self._json = ijson.items_coro(self._found, "", multiple_values=True, use_float=True)
+        self._json = ijson.items_coro(
+            self._found, "", multiple_values=True, use_float=True, map_type=self._new_members
+        )
+        self._read = read
+        self._outer: dict[str, Any] | None = None  # the present object's members, as far as they have come
+        self._wholes = 0  # objects found when it began
+        self._entries = 0  # of its targets that are read
         self._size = 0  # bytes of the present object, and a little more
+        self._unread = 0  # of these, since an entry was read
         self._failure: WatchError | None = None
         self.half = False  # an object has begun and is not whole
         self.stood = False  # the answer is a watch, and has said something
@@ -61,6 +74,22 @@
         if self._failure is not None:
             raise self._failure
 
+    def _new_members(self) -> dict[str, Any]:
+        """For the parser: the members of an object that begins, an outermost one or one within."""
+        members: dict[str, Any] = {}
+        if self._outer is None or len(self._found) > self._wholes:
+            self._outer, self._wholes, self._entries = members, len(self._found), 0
+        return members
+
+    def _read_entries(self) -> None:
+        """Those that are whole: all but the last, which may not be."""
+        targets = self._outer.get("targets") if self._outer is not None else None
+        if self._read is None or not isinstance(targets, list) or len(targets) <= self._entries + 1:
+            return
+        whole = len(targets) - 1
+        targets[self._entries : whole] = map(self._read, targets[self._entries : whole])
+        self._entries, self._unread = whole, 0
+
     def on_headers_complete(self) -> None:
         if (status := self._parser.get_status_code()) != 200:
             self._failure = WatchError(f"discovery answered {status}")
@@ -69,17 +98,23 @@
         if self._failure is not None:
             return
         self.stood, before = True, len(self._found)
+        self._unread += len(body)
         try:
             self._json.send(body)
+            self._read_entries()
+        except WatchError as error:
+            self._failure = error
+            return
         except (ijson.JSONError, UnicodeDecodeError, RecursionError) as error:
             self._failure = WatchError(f"not JSON: {' '.join(str(error).split())[:100]}")
             return
         said = body.rstrip()
         if len(self._found) > before:
-            self._size, self.half = 0, not said.endswith(b"}")
+            self._size, self._unread, self.half = 0, 0, not said.endswith(b"}")
+            self._outer = None if not self.half else self._outer
         elif said:
             self._size, self.half = self._size + len(body), True
-        if self._size > MOST_OBJECT:
+        if self._size > MOST_OBJECT or self._unread > MOST_UNREAD:
             self._failure = WatchError("an object does not end")
 
     def on_message_complete(self) -> None:
@@ -184,7 +219,7 @@
             path = f"/discovery/hosts?watch=1&after={self._destinations.revision}"
             head = f"GET {path} HTTP/1.1\r\nHost: {self._address}\r\nAccept: application/json\r\n\r\n"
             await loop.sock_sendall(sock, head.encode())
-            parser, buffer = WatchParser(), bytearray(65536)
+            parser, buffer = WatchParser(self._destinations.read), bytearray(65536)
             while not parser.ended:
                 size = await loop.sock_recv_into(sock, buffer)
                 if not size:
