--- a/benchmarks/list_size.py
+++ b/benchmarks/list_size.py
@@ -1,16 +1,20 @@
 """What the length of the list of backends costs an ingress: reading it, one change, housekeeping, memory, a decision.
 
-    python -m benchmarks.list_size [--sizes 200,2400,8000,24000] [--json FILE]
+    python -m benchmarks.list_size [--sizes 200,2400,8000,24000] [--served] [--json FILE]
 
 Each size is measured in a process of its own, without sockets: the bytes of discovery go into the watch's parser, its
 list into the destination set, that into the module; the module's timers are rung on a clock of the benchmark's. Memory
 is the resident set by the system's accounting, in MB beyond the bare process; times are the thread's own, for the
-machine may be busy. `longest`: how long the loop is held at once. No part of CI.
+machine may be busy. `longest`: how long the loop is held at once.
+
+With `--served` an ingress is started as a process, on sockets: it takes the list from a discovery, stands idle for 10 s,
+and loses one backend in 14 within 7 s, while a client says PING every 5 ms. No part of CI.
 """
 
 from __future__ import annotations
 
 import argparse
+import asyncio
 import gc
 import heapq
 import json
@@ -21,9 +25,12 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import Any
 
+from benchmarks import rig
 from dockthread import Gateway, api
 from dockthread.clock import ManualClock
 from dockthread.net.destination_set import DestinationSet, WatchError
@@ -190,6 +197,87 @@
     return figures
 
 
+class Discovery:
+    """Serves a whole list to a watch, and what it is given from then on."""
+
+    def __init__(self, size: int, port: int) -> None:
+        self.size, self.port, self.revision = size, port, 1
+        self.watch: asyncio.StreamWriter | None = None
+
+    def say(self, *targets: dict[str, Any], full: bool = False) -> None:
+        """The backends are all one, by the numbers in their uids."""
+        self.revision += 1
+        at_node = [one | {"endpoint": f"127.0.0.1:{self.port}"} for one in targets]
+        text = json.dumps({"rev": self.revision, "all": full, "targets": at_node}).encode() + b"\n"
+        assert self.watch is not None
+        self.watch.write(b"%x\r\n%b\r\n" % (len(text), text))
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.watch = writer
+        writer.write(HEAD)
+        self.say(*whole_list(self.size)["targets"], full=True)
+        with suppress(asyncio.CancelledError):  # the benchmark is over
+            while not writer.is_closing():
+                writer.write(b"1\r\n\n\r\n")
+                await asyncio.sleep(2)
+
+
+class Pings:
+    """A client that says PING and notes how long each answer took."""
+
+    def __init__(self) -> None:
+        self.longest, self.ready = 0.0, asyncio.Event()
+
+    async def run(self, port: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        while True:
+            begun = time.perf_counter()
+            writer.write(b"*1\r\n$4\r\nPING\r\n")
+            answer = await reader.readline()
+            self.longest = max(self.longest, (time.perf_counter() - begun) * 1000)
+            if answer.startswith(b"+PONG"):
+                self.ready.set()
+            await asyncio.sleep(0.005)
+
+
+async def served(size: int) -> dict[str, float]:
+    """A real ingress: its start, a quiet time, and the loss of a zone."""
+    figures: dict[str, float] = {}
+    with TemporaryDirectory() as folder:
+        async with rig.pool() as at:
+            discovery, pings = Discovery(size, at["nodes"][0]), Pings()
+            server = await asyncio.start_server(discovery.serve, "127.0.0.1", 0)
+            at["discovery"] = server.sockets[0].getsockname()[1]
+            begun = time.perf_counter()
+            async with rig.daemon(Path(folder), at) as ingress:
+                figures["listens_ms"] = (time.perf_counter() - begun) * 1000
+                pinging = asyncio.create_task(pings.run(ingress.port))
+                await pings.ready.wait()
+                await asyncio.sleep(4)
+                figures["start_cpu_ms"] = ingress.cpu() * 1000
+                figures["start_longest_ping_ms"], pings.longest = pings.longest, 0.0
+                used = ingress.cpu()
+                await asyncio.sleep(10)
+                figures["idle_percent"] = (ingress.cpu() - used) * 10
+                figures["idle_longest_ping_ms"], pings.longest = pings.longest, 0.0
+                used, lost = ingress.cpu(), size // 14
+                for n in range(lost):
+                    discovery.say(target(14 * n, "left"))
+                    await asyncio.sleep(7 / lost)
+                await asyncio.sleep(1)
+                figures["lost_cpu_ms"] = (ingress.cpu() - used) * 1000
+                figures["lost_longest_ping_ms"] = pings.longest
+                result = await rig.open_loop(ingress.port, 50, 5.0)
+                figures["served_part"] = result.outcomes.get("served", 0) / result.asked
+                figures["answer_p99_ms"] = result.quantile(0.99)
+                figures["resident_mb"] = ingress.resident() / 1e6
+                status = Path(f"/proc/{ingress.pid}/status").read_text()
+                figures["peak_mb"] = int(status.split("VmHWM:")[1].split()[0]) * 1024 / 1e6
+                pinging.cancel()
+    return figures
+
+
 def table(rows: dict[int, dict[str, float]]) -> str:
     width = max(len(name) for name in next(iter(rows.values())))
     lines = [" " * width + "".join(f"{size:>12,}" for size in rows)]
@@ -203,6 +291,7 @@
     parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
     parser.add_argument("--sizes", default=",".join(map(str, SIZES)), help="lengths of the list, with commas")
     parser.add_argument("--json", type=Path, help="where to write the figures")
+    parser.add_argument("--served", action="store_true", help="start an ingress for each size")
     parser.add_argument("--one", type=int, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.one:
@@ -210,6 +299,9 @@
         return
     rows: dict[int, dict[str, float]] = {}
     for size in map(int, options.sizes.split(",")):
+        if options.served:
+            rows[size] = asyncio.run(served(size))
+            continue
         command = [sys.executable, "-m", "benchmarks.list_size", "--one", str(size)]
         rows[size] = json.loads(subprocess.run(command, check=True, capture_output=True, text=True).stdout)
     print(table(rows))
