--- a/dockthread/module/belief.py
+++ b/dockthread/module/belief.py
@@ -2,9 +2,9 @@
 
 Theory of operation. With many gateways each sees little of any worker: some three answers a minute, where three
 gateways saw a hundred. A figure smoothed from nothing with a small step never leaves its start then, and a report
-is old before the next comes. So what is believed of one worker leans on what is known of its kind (`Kin`): the mean
-of one worker's few answers is drawn towards its kind's by a fixed number of imagined answers (shrinkage), and counts
-alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of is
+is old before the next comes. So what is believed of one worker leans on what is known of its kind (`KindStats`): the
+mean of one worker's few answers is drawn towards its kind's by a fixed number of imagined answers (shrinkage), and
+counts alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of is
 as busy as the others, and not a free one that draws all.
 """
 
@@ -14,7 +14,7 @@
 
 IMAGINED = 2.0  # answers like its kind's that a worker is taken to have given
 MOST_PACE = 8.0  # the slowest answer that counts, in usual ones
-PACE_STEP, KIN_STEP = 0.05, 0.05  # least weight of one more answer in a worker's figures; in its kind's
+PACE_STEP, KIND_STEP = 0.05, 0.05  # least weight of one more answer in a worker's figures; in its kind's
 FEW = 3.0  # gateways for which the weight of one failure, and the time that it lasts, were set
 FIELDS = ("rif", "busy", "rate", "lat_ms", "q")  # of load reports, on the wire
 BUSY = 1.0  # requests that a node's use of all its cores counts as, beside the own ones there
@@ -28,7 +28,7 @@
     return max(1.0, math.sqrt(gateways / FEW))
 
 
-class Kin:
+class KindStats:
     """What the workers of one kind have in common: answer time in usual ones, requests of others there."""
 
     __slots__ = ("others", "pace", "reports", "seen")
@@ -39,11 +39,11 @@
 
     def answered(self, pace: float) -> None:
         self.seen += 1
-        self.pace += max(KIN_STEP, 1 / self.seen) * (pace - self.pace)
+        self.pace += max(KIND_STEP, 1 / self.seen) * (pace - self.pace)
 
     def reported(self, others: float) -> None:
         self.reports += 1
-        self.others += max(KIN_STEP, 1 / self.reports) * (others - self.others)
+        self.others += max(KIND_STEP, 1 / self.reports) * (others - self.others)
 
 
 class Rounds:
@@ -80,9 +80,9 @@
         self._seen, self._at = min(self.seen + 1, 1 / PACE_STEP), self._rounds.count
         self._mean += (pace - self._mean) / self._seen
 
-    def believed(self, kin: Kin) -> float:
+    def believed(self, kind: KindStats) -> float:
         seen = self.seen
-        return (IMAGINED * kin.pace + seen * self._mean) / (IMAGINED + seen)
+        return (IMAGINED * kind.pace + seen * self._mean) / (IMAGINED + seen)
 
 
 class Crowds:
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -9,7 +9,7 @@
 from math import inf
 
 from dockthread.module import api
-from dockthread.module.belief import Kin, Pace
+from dockthread.module.belief import KindStats, Pace
 from dockthread.module.ledger import Store
 from dockthread.module.message import Report, whole, worker_code
 from dockthread.module.pool import Pool
@@ -48,12 +48,12 @@
     """One listed worker. There may be tens of thousands: what most never have is made when it is first needed."""
 
     __slots__ = (
-        "_failed", "_times", "answered", "entry", "fresh", "full_for", "full_until", "gone", "kin", "others",
+        "_failed", "_times", "answered", "entry", "fresh", "full_for", "full_until", "gone", "kind", "others",
         "others_mean", "out", "place", "pool", "ready", "report", "report_at", "spare", "spare_at",
     )  # fmt: skip
 
-    def __init__(self, entry: api.WorkerEntry, kin: Kin, pool: Pool) -> None:
-        self.kin = kin  # what is known of its kind
+    def __init__(self, entry: api.WorkerEntry, kind: KindStats, pool: Pool) -> None:
+        self.kind = kind  # what is known of its kind
         self.pool, self.place = pool, -1
         self.entry, self.ready, self.out = entry, False, 0  # attempts out, late ones too
         self.gone = inf  # since when it is not listed
@@ -94,14 +94,14 @@
     @property
     def pace(self) -> float:
         """Answer time, in usual ones of its class."""
-        return self.kin.pace if self._times is None else self._times.believed(self.kin)
+        return self.kind.pace if self._times is None else self._times.believed(self.kind)
 
     def took(self, pace: float) -> None:
         """An answer's time, in usual ones of its class."""
         if self._times is None:
             self._times = Pace(self.pool.rounds)
         self._times.answered(pace)
-        self.kin.answered(pace)
+        self.kind.answered(pace)
 
     def full(self, plan: int, until: float) -> None:
         """It has no room for a plan."""
@@ -116,12 +116,12 @@
             self.others = others
             # By time, not by report: where they are seldom, one says as much as many do.
             self.others_mean += (1 - 0.5 ** (gap / MEAN_HALF)) * (self.others - self.others_mean)
-            self.kin.reported(self.others)
+            self.kind.reported(self.others)
 
     def load(self, now: float) -> float:
         """Requests there: the own ones out, and others by a report that says the less, the older it is."""
         if self.report_at == NEVER:  # else those not met yet would draw all
-            return self.out + (0.0 if self.fresh else self.kin.others)
+            return self.out + (0.0 if self.fresh else self.kind.others)
         weight: float = 0.5 ** ((now - self.report_at) / REPORT_HALF)
         return self.out + self.others_mean + weight * (self.others - self.others_mean)
 
@@ -186,7 +186,7 @@
         self.held: dict[int, None] = {}  # requests for which there is no worker now
         self.owner: dict[tuple[int, int], int] = {}  # customers of the attempts out
         self.workers: dict[int, Worker] = {}
-        self.kin: dict[int, Kin] = {}  # by kind
+        self.kinds: dict[int, KindStats] = {}  # by the number of the kind
         self.codes: dict[bytes, Worker] = {}
         self.kept = settings.conn_idle * api.IDLE_PART  # for which a connection may stand idle
         self.leaving: dict[int, Worker] = {}  # those that are not listed any more
@@ -213,8 +213,8 @@
     def known(self, entry: api.WorkerEntry) -> Worker:
         """The worker of an entry, a new one for a number never listed before."""
         if (w := self.workers.get(entry.worker)) is None:
-            kin = self.kin.setdefault(entry.kind, Kin())
-            w = self.workers[entry.worker] = Worker(entry, kin, self.pool)
+            kind = self.kinds.setdefault(entry.kind, KindStats())
+            w = self.workers[entry.worker] = Worker(entry, kind, self.pool)
             self.pool.add(w)
             if self.s.may_tell:
                 self.codes[w.code] = w
