--- a/dockthread/module/belief.py
+++ b/dockthread/module/belief.py
@@ -4,8 +4,8 @@
 gateways saw a hundred. A figure smoothed from nothing with a small step never leaves its start then, and a report
 is old before the next comes. So what is believed of one worker leans on what is known of its kind (`KindStats`): the
 mean of one worker's few answers is drawn towards its kind's by a fixed number of imagined answers (shrinkage), and
-counts alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of is
-as busy as the others, and not a free one that draws all.
+counts alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of
+is as busy as the others, and not a free one that draws all.
 """
 
 from __future__ import annotations
