--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from math import inf, isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 from dockthread import api
 from dockthread.clock import Clock
@@ -16,6 +16,7 @@
     "leaving": api.WorkerState.DRAINING,
     "left": api.WorkerState.GONE,
 }
+PART = 2_000  # entries that are taken over and told at once: some 20 ms
 KEPT = 60_000.0  # for which a destination that is gone is known: no call to it can be out by then
 
 
@@ -23,17 +24,45 @@
     """Discovery said something that is not on the protocol's page."""
 
 
+class Target(NamedTuple):
+    """One backend as discovery lists it, in the module's words."""
+
+    uid: str
+    address: str
+    state: api.WorkerState
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+    started: float  # seconds on the ingress's clock, 0 for long ago
+
+    def entry(self, worker: int) -> api.WorkerEntry:
+        return api.WorkerEntry(worker, self.state, self.zone, self.kind, self.cell, self.weight, self.started)
+
+
+class TargetList(NamedTuple):
+    """A list or its changes as discovery sends them."""
+
+    revision: int
+    full: bool
+    targets: list[Target]
+
+
 @dataclass(slots=True)
 class Destination:
     worker: int
     uid: str
-    endpoint: Address
+    address: str  # as discovery writes it, which takes a third of the memory of an address
     state: api.WorkerState
     started: float  # milliseconds on the ingress's clock, 0 for long ago
     gone: float = inf  # since when
     revision: int = 0  # of the list that told of it last
     told: api.WorkerEntry | None = None  # what the module was last told of it, as discovery listed it
 
+    @property
+    def endpoint(self) -> Address:
+        return Address.parse(self.address)
+
     @property
     def active(self) -> bool:
         return self.state is api.WorkerState.READY
@@ -55,19 +84,22 @@
         self._clock = clock
         self._by_uid: dict[str, Destination] = {}
         self.by_worker: dict[int, Destination] = {}
+        self._gone: dict[int, Destination] = {}  # those of them that are not listed any more
         self._numbers = 0
         self.revision = 0
+        self.partial = False  # the first list is being taken over, and is long
         self.moved: Callable[[Destination], None] = lambda destination: None
         self.held: set[str] = set()  # uids left out by hand: the module hears that they drain, whatever is listed
 
     @property
     def listed(self) -> int:
-        return sum(d.state is not api.WorkerState.GONE for d in self.by_worker.values())
+        return len(self.by_worker) - len(self._gone)
 
     @property
     def avoided(self) -> int:
         """Listed destinations that are left out by hand."""
-        return sum(d.state is not api.WorkerState.GONE and d.uid in self.held for d in self.by_worker.values())
+        known = (self._by_uid.get(uid) for uid in self.held)
+        return sum(d is not None and d.state is not api.WorkerState.GONE for d in known)
 
     def hold(self, uid: str, held: bool, now: float) -> api.WorkersListed | None:
         """Leave a uid out by hand, or let it serve again; None where no such uid is known. A uid let back has
@@ -109,72 +141,113 @@
     def tidy(self) -> None:
         """Forget those long gone: on a long day there are ever new ones."""
         oldest = self._clock.now() - KEPT
-        for destination in [d for d in self.by_worker.values() if d.gone < oldest]:
-            del self.by_worker[destination.worker], self._by_uid[destination.uid]
+        for destination in [d for d in self._gone.values() if d.gone < oldest]:
+            del self._gone[destination.worker], self.by_worker[destination.worker], self._by_uid[destination.uid]
 
     def apply(self, message: Any, cached: bool = False) -> api.WorkersListed:
         """Take over a list or its changes, and say it in the module's words. Nothing of a malformed message
         is taken over."""
+        return self._apply(self._read_list(message), cached)
+
+    def _apply(self, said: TargetList, cached: bool = False) -> api.WorkersListed:
+        entries = tuple([self._take(target, said.revision) for target in said.targets])
+        self.revision, self.partial = said.revision, False
+        if said.full:
+            self._leave_out({entry.worker for entry in entries})
+        kind = api.ListKind.FULL if said.full else api.ListKind.CHANGES
+        return api.WorkersListed(api.ListKind.CACHED if cached else kind, entries)
+
+    def parts(self, message: Any) -> Iterator[api.WorkersListed]:
+        """The same, a long list in parts: each is taken over when it is asked for, to be told before the next, so
+        that the set and the module agree in between. Whoever a whole list leaves out is told as gone at its end.
+        One that is given up on the way leaves the revision as it was, and discovery tells all of it again."""
+        said = self._read_list(message)
+        if len(said.targets) <= PART:
+            yield self._apply(said)
+            return
+        self.partial = self.partial or not self.by_worker
+        message["targets"] = [None] * len(said.targets)  # what was taken over is to make room for what comes of it
+        listed: set[int] = set()
+        said.targets.reverse()
+        while said.targets:
+            part, said.targets[-PART:] = said.targets[-PART:], []
+            entries = tuple([self._take(target, said.revision) for target in reversed(part)])
+            listed.update([entry.worker for entry in entries])
+            yield api.WorkersListed(api.ListKind.CHANGES, entries)
+        left_out = self._leave_out(listed) if said.full else []
+        self.revision, self.partial = said.revision, False
+        yield api.WorkersListed(api.ListKind.CHANGES, tuple(left_out))
+
+    def _read_list(self, message: Any) -> TargetList:
         try:
-            full = bool(message["all"])
-            revision = int(message["rev"])
-            read = [self._read(target) for target in message["targets"]]
+            targets = [one if isinstance(one, Target) else self.read(one) for one in message["targets"]]
+            return TargetList(int(message["rev"]), bool(message["all"]), targets)
+        except (KeyError, TypeError, ValueError) as error:
+            raise WatchError(f"not a list of destinations: {error!r}") from error
+
+    def _leave_out(self, listed: set[int]) -> list[api.WorkerEntry]:
+        """Whoever a whole list does not name is gone: these, as they are told."""
+        left_out: list[api.WorkerEntry] = []
+        for destination in self.by_worker.values():
+            if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
+                destination.state, destination.gone = api.WorkerState.GONE, self._clock.now()
+                self._gone[destination.worker] = destination
+                if destination.told is not None:
+                    destination.told = replace(destination.told, state=api.WorkerState.GONE)
+                    left_out.append(destination.told)
+                self.moved(destination)
+        return left_out
+
+    def read(self, said: Any) -> Target:
+        """One entry of a list. Raises WatchError where it is malformed."""
+        try:
+            uid, weight = said["uid"], float(said.get("capacity_hint", 1.0))
+            boot = float(said.get("boot_ms", 0))
+            if not isinstance(uid, str):
+                raise TypeError("a uid is not a string")
+            if not (isfinite(weight) and isfinite(boot)):
+                raise ValueError("a figure is not finite")
+            Address.parse(address := said["endpoint"])  # raises where it is none
+            return Target(
+                uid,
+                address,
+                STATES[said["state"]],
+                self._zones.get(said.get("az", ""), len(self._zones)),
+                self._kinds.get(said.get("model", ""), len(self._kinds)),
+                int(said.get("pod_group", 0)),
+                1.0 if weight == 1.0 else weight,  # one object for all
+                self._clock.from_unix(boot) / 1000.0 if boot else 0.0,
+            )
         except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
             raise WatchError(f"not a list of destinations: {error!r}") from error
-        entries = tuple(self._take(*one, revision) for one in read)
-        self.revision = revision
-        if full:
-            listed = {entry.worker for entry in entries}
-            for destination in self.by_worker.values():
-                if destination.worker not in listed and destination.state is not api.WorkerState.GONE:
-                    destination.state, destination.gone = api.WorkerState.GONE, self._clock.now()
-                    if destination.told is not None:
-                        destination.told = replace(destination.told, state=api.WorkerState.GONE)
-                    self.moved(destination)
-        kind = api.ListKind.FULL if full else api.ListKind.CHANGES
-        return api.WorkersListed(api.ListKind.CACHED if cached else kind, entries)
 
-    def _read(self, target: dict[str, Any]) -> tuple[str, Address, api.WorkerEntry]:
-        uid = target["uid"]
-        entry = api.WorkerEntry(
-            worker=-1,
-            state=STATES[target["state"]],
-            zone=self._zones.get(target.get("az", ""), len(self._zones)),
-            kind=self._kinds.get(target.get("model", ""), len(self._kinds)),
-            cell=int(target.get("pod_group", 0)),
-            weight=float(target.get("capacity_hint", 1.0)),
-            started=self._clock.from_unix(float(target.get("boot_ms", 0))) / 1000.0,
-        )
-        if not isinstance(uid, str):
-            raise TypeError("a uid is not a string")
-        if not (isfinite(entry.weight) and isfinite(entry.started)):
-            raise ValueError("a figure is not finite")
-        return uid, Address.parse(target["endpoint"]), entry
-
-    def _take(self, uid: str, endpoint: Address, read: api.WorkerEntry, revision: int) -> api.WorkerEntry:
+    def _take(self, read: Target, revision: int) -> api.WorkerEntry:
+        uid, started = read.uid, read.started * 1000.0 if read.started else 0.0
         known = self._by_uid.get(uid)
         if known is None:
             worker = self._numbers = self._numbers + 1
-            known = Destination(worker, uid, endpoint, read.state, read.started * 1000.0)
+            known = Destination(worker, uid, read.address, read.state, started)
             self._by_uid[uid] = self.by_worker[worker] = known
         elif (
             revision < known.revision
             and read.state is api.WorkerState.READY
-            and read.started * 1000.0 <= known.started
+            and started <= known.started
             and known.told is not None
         ):
             return self._masked(known.told, uid)
         else:
-            later = read.started * 1000.0 > known.started
+            later = started > known.started
             revision = revision if later else max(revision, known.revision)
-            before = (known.endpoint, known.active, known.started)
-            known.endpoint, known.state, known.started = endpoint, read.state, read.started * 1000.0
-            if before != (known.endpoint, known.active, known.started):
+            before = (known.address, known.active, known.started)
+            known.address, known.state, known.started = read.address, read.state, started
+            if before != (known.address, known.active, known.started):
                 self.moved(known)
         known.revision = revision
         gone = known.state is api.WorkerState.GONE
         known.gone = min(known.gone, self._clock.now()) if gone else inf
-        known.told = api.WorkerEntry(
-            known.worker, read.state, read.zone, read.kind, read.cell, read.weight, read.started
-        )
+        if gone:
+            self._gone[known.worker] = known
+        else:
+            self._gone.pop(known.worker, None)
+        known.told = read.entry(known.worker)
         return self._masked(known.told, uid)
