Send what was held for long though its customer was forgotten

Cause: housekeeping forgets a customer whose store is full again and that has nothing out, also while a request of it is held for want of a backend. When one came, `_try` looked the customer up and raised KeyError in `_survey`, so that each round of housekeeping failed from then on, until that request's end. Now the customer is entered anew, with the full store that it had.

--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -54,7 +54,7 @@
         worker.take_link(self.now - self.kept)
         self.owner[request, len(call.attempts)] = call.ask.customer
         call.attempts.append(Attempt(worker.entry.worker, self.now, crowd))
-        self.customers[call.ask.customer].out += 1
+        self._customer(call.ask.customer, call.ask.plan).out += 1  # forgotten if held for long
         self.actions.append(api.Send(request, worker.entry.worker, *self._sent(request, call)))
         usual, deviation = self.usual[call.ask.request_class]
         late = self.now + usual + LATE_DEVIATIONS * deviation
