Give a pool of cold backends alone no more than the settings allow of what was borne

Need: a fleet of any size must not push cold backends over, with N + 2 root(N) + 2 requests of mean work in the time that the settings name. Cause of the falls: without a warm backend all that is let in goes to cold ones, and what was held while there was none goes at once; nothing bounded either. Change: `Ramp` (module/warmup.py) counts what each ingress saw borne by as much warmth, and is a store of tries that fills at (multiple - 1) times that and holds a fall time of it; `_choose` asks it where no backend is warm. A simulation of deciding cores (lab/fleet/cold_*.py, `python -m benchmarks.cold_ramp`) judges it by a checker of its own.

--- /dev/null
+++ b/dockthread/lab/fleet/cold_scenes.py
@@ -0,0 +1,118 @@
+"""Scenes of cold backends drawn by seed, over processes, and faults planted in the deciding core."""
+
+from __future__ import annotations
+
+import multiprocessing
+import random
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from math import inf
+
+from dockthread import api
+from dockthread.lab.fleet.cold_checker import Fall
+from dockthread.lab.fleet.cold_world import AFTER, ALIKE, TWO_KINDS, ColdWorld, Kind, Scene
+from dockthread.module.rules import Gateway
+from dockthread.module.state import Worker
+from dockthread.module.warmup import Ramp
+
+SLOW = (Kind(2, 0.85),)
+BACKENDS = {3: 12, 30: 30, 200: 100}  # by the number of ingresses
+COLD = (0.1, 0.3, 0.6, 0.9, 1.0)  # parts of the backends
+
+
+def drawn(seed: int, ingresses: int, cold: float | None = None) -> Scene:
+    rng = random.Random(seed * 1_000 + ingresses)
+    restarted = rng.random() < 0.6
+    part = rng.choice(COLD)
+    return Scene(
+        ingresses,
+        BACKENDS.get(ingresses, max(12, ingresses // 2)),
+        cold=part if cold is None else cold,
+        load=rng.uniform(0.3, 0.9),
+        burst=rng.choice((1.0, 1.5)),
+        restarted=restarted,
+        gone_for=rng.choice((0.0, 5.0)),
+        aim=rng.choice((1.5, 2.5, 5.0)),
+        late=rng.choice((0.0, 0.1, 0.3)),
+        late_by=rng.uniform(1.0, 6.0),
+        uneven=rng.uniform(0.3, 1.5),
+        seen=rng.random() < 0.7,
+        kinds=rng.choice((ALIKE, TWO_KINDS, SLOW)),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """`fullest`: the most that came in a window, over N; `used`: what the cold backends served, over what they could;
+    `could`: the requests in time at the most, by what all backends could and what came."""
+
+    seed: int
+    scene: Scene
+    cold: int
+    falls: tuple[Fall, ...]
+    fullest: float
+    used: float
+    in_time: float
+    could: float
+
+    @property
+    def breaks(self) -> list[Fall]:
+        return [fall for fall in self.falls if fall.breaks_the_rule]
+
+
+def play(seed: int, scene: Scene, plant: str = "") -> Played:
+    world = ColdWorld(seed, scene, gateway=PLANTS[plant])
+    checker = world.play()
+    warming = (checker.least_capacity(0.0) + checker.least_capacity(AFTER)) / 2 * AFTER
+    cold = sum(b.kind.capacity for b in world.cold) * warming
+    warm = (world.capacity - sum(b.kind.capacity for b in world.cold)) * AFTER
+    came = max(1, world.count.came)
+    return Played(
+        seed,
+        scene,
+        len(world.cold),
+        tuple(checker.falls),
+        max(b.fullest for b in checker.backends.values()),
+        sum(b.served for b in world.cold) / cold,
+        world.count.in_time / came,
+        min(1.0, (cold + warm) / came),
+    )
+
+
+def _drawn_and_played(seed: int, ingresses: int, cold: float | None, plant: str) -> Played:
+    return play(seed, drawn(seed, ingresses, cold), plant)
+
+
+def many(seeds: range, ingresses: int, cold: float | None, plant: str, jobs: int) -> list[Played]:
+    with ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        count = len(seeds)
+        return list(pool.map(_drawn_and_played, seeds, [ingresses] * count, [cold] * count, [plant] * count))
+
+
+class WarmthIgnored(Gateway):
+    def _warmth(self, w: Worker) -> float:
+        return 1.0
+
+
+class Unbounded(Gateway):
+    """Cold ones alone get all that comes, and at once what was held."""
+
+    def _ramp_left(self) -> float:
+        return inf
+
+
+class EachAsIfAlone(Gateway):
+    """Each ingress takes what a fleet may send for its own part."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        self.ramp = Ramp(settings.safety, 1, now)
+
+
+PLANTS: dict[str, Callable[..., Gateway]] = {
+    "": Gateway,
+    "warmth-ignored": WarmthIgnored,
+    "unbounded": Unbounded,
+    "each-as-if-alone": EachAsIfAlone,
+}
--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -28,7 +28,6 @@
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.reports, self.crowds = Reports(settings.load_names), Crowds()
-        self.usual = [(c.aim / 5, c.aim / 10) for c in settings.classes]  # answer time and its deviation
         self.tight = min(k.aim for k in settings.classes)
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
 
@@ -51,6 +50,7 @@
         del self.held[request]
         crowd = self.crowds.met(worker.load(self.now))
         self.carry(worker, 1)
+        self.ramp.left -= not self.warm
         worker.take_link(self.now - self.kept)
         self.owner[request, len(call.attempts)] = call.ask.customer
         call.attempts.append(Attempt(worker.entry.worker, self.now, crowd))
@@ -109,7 +109,7 @@
         if e.outcome is Outcome.OK:
             w.failed -= FAIL_STEP * w.failed
             w.full_for, w.spare, w.spare_at = 0.0, w.spare + 1, self.now
-            self.done += 1
+            self._borne()
             step = SLOW_STEP * self._tells(w)
             self.slow += step * (min(e.took, LATEST * self.tight) - self.slow)
         elif e.outcome is Outcome.FULL:  # to this plan: the others may find room; many: a jam without answers
@@ -153,10 +153,6 @@
         is hardly drawn, and its late answers must not refuse what the others have room for."""
         return min(1.0, ((1 - w.failed) / self.sound) ** 2)
 
-    def _usually(self) -> float:
-        """The usual answer time, of a class as of any other."""
-        return sum(usual for usual, _ in self.usual) / len(self.usual)
-
     def _repeats(self, call: Call) -> bool:
         """Whether a second attempt may go while the first is out. A class may have been changed meanwhile."""
         return self._effect(call) is not Effect.UNSAFE and len(call.attempts) < self.s.most_attempts
--- a/dockthread/module/choice.py
+++ b/dockthread/module/choice.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
-import math
-
 from dockthread.module.api import Effect, Group
-from dockthread.module.routed import Routed
 from dockthread.module.state import NEVER, Call, Worker
+from dockthread.module.warmup import Warming, cold_times
 
 CHOICES, HOME, TRIALS = 4, 2.0, 0.1  # candidates a gateway; draws of the own zone; root of a bad one's share
 HANDSHAKE = 8.0  # requests' times that the price of a new connection is worth
 ABOUT = 0.05  # part by which believed costs may differ and be alike: within it, chance decides
 
 
-class Choice(Routed):
+class Choice(Warming):
     def _choose(self, call: Call) -> Worker | None:
         """Drawn by their shares, so that gateways neither herd nor, in sum, push a cold worker over (rule 4):
         of a first attempt's drawn only as many may be cold as times what it can do a cold worker stands, less
-        one that is kept for chance, whatever the others have no room for."""
+        one that is kept for chance, whatever the others have no room for. Cold ones alone: by `Ramp`."""
+        if not self.warm and self._ramp_left() < 1:
+            return None
         ran, used = call.ran(), {a.worker for a in call.attempts}
         ready, sums = self._subset(call, self.pool)
         if ran is not None and (effect := self._effect(call)) is not Effect.SAFE:  # rule 2
@@ -28,7 +28,7 @@
         elif ready:
             count = max(2, CHOICES * len(ready) // self.s.gateways)
             drawn = self.rng.choices(ready, cum_weights=sums, k=count)
-            cold = 0 if call.attempts else max(1, int(self.s.safety.fall_multiple) - 1)
+            cold = 0 if call.attempts else cold_times(self.s.safety)
             free = [w for i, w in enumerate(drawn) if self._fits(w, call, i < cold)]
             if free := [w for w in free if w.entry.worker not in used]:
                 return min(free, key=self._cost)
@@ -54,8 +54,3 @@
     def _sound(self, w: Worker) -> float:
         near = HOME if w.entry.zone == self.s.zone and self.s.prices.cross_zone else 1.0
         return near * max(w.entry.weight, 1e-6) * max(1 - w.failed, TRIALS) ** 2
-
-    def _warmth(self, w: Worker) -> float:
-        s = self.s.safety
-        age = max(0.0, self.now - w.entry.started) if w.entry.started else math.inf
-        return min(1.0, s.cold_share + (1 - s.cold_share) * age / max(s.cold_time, 1e-6))
