Simulate a wave of two hundred restarts before one discovery

Need: nine in ten restarted processes are to be ready within 10 s; with 200 at once only their pauses can be looked at.

--- /dev/null
+++ b/tests/test_restart_wave.py
@@ -0,0 +1,100 @@
+"""Two hundred ingresses that start at once: how many are ready in time, by their pauses."""
+
+from __future__ import annotations
+
+from math import inf
+from statistics import median
+from typing import Any
+
+import pytest
+
+from dockthread import api
+from dockthread.clock import ManualClock
+from dockthread.lab.fleet.restart_wave import Passed, Restarts, Wave, waves
+from dockthread.module.backoff import Backoff
+from dockthread.net.destination_set import DestinationSet
+from dockthread.net.watch import Watch
+from dockthread.settings import Address, Names
+
+SEEDS = range(1, 21)
+TARGET = {"uid": "s-1", "endpoint": "127.0.0.1:1", "state": "active", "az": "a", "model": "m"}
+
+
+def ready_within(ms: float, passed: list[Passed]) -> float:
+    return median(one.ready_within(ms) for one in passed)
+
+
+@pytest.mark.parametrize("down", [0.0, 4_000.0, 20_000.0])
+@pytest.mark.parametrize("pushed", [True, False])
+def test_two_hundred_that_hold_an_old_list_are_ready_whatever_discovery_does(pushed: bool, down: float) -> None:
+    for passed in waves(SEEDS, Wave(pushed=pushed, down=down)):
+        assert passed.ready_within(1_000.0) == 1.0
+
+
+def test_two_hundred_without_a_list_are_ready_as_soon_as_their_agents_speak() -> None:
+    for passed in waves(SEEDS, Wave(pushed=True, known=False, down=4_000.0)):
+        assert passed.ready_within(6_000.0) == 1.0
+
+
+@pytest.mark.parametrize("silent", [True, False])
+def test_thirty_without_a_list_get_theirs_in_turn_from_a_discovery_that_works_in_vain_too(silent: bool) -> None:
+    passed = waves(SEEDS, Wave(30, 30, known=False, silent=silent))
+    assert ready_within(10_000.0, passed) >= 0.9
+
+
+def test_two_hundred_without_a_list_are_no_more_than_discovery_serves_and_ask_it_seldom() -> None:
+    """Nine in ten cannot be ready in 10 s where one in 0.13 s is served: that would be 77 of 200 at the most."""
+    for passed in waves(SEEDS, Wave(known=False)):
+        assert passed.ready_within(10_000.0) <= 77 / 200
+        assert passed.calls <= 4 * 200, "calls are priced over the whole fleet: in a minute four each, at the most"
+
+
+class Impatient(Backoff):
+    def again(self) -> float:
+        return 250.0
+
+
+def test_a_fixed_short_pause_is_found_by_its_calls() -> None:
+    passed = Restarts(1, Wave(known=False), Impatient).play()
+    assert passed.calls > 40 * 200
+
+
+def begun(pushed: bool, targets: list[dict[str, str]]) -> tuple[Watch, list[float]]:
+    """The program's own watch, begun at 0 with a list of its configuration, and the timers that it set."""
+    clock = ManualClock(0.0, 1_700_000_000_000.0)
+    settings = api.Settings(
+        number=0,
+        gateways=200,
+        classes=(api.RequestClass(aim=1.0, deadline=2.0),),
+        plans=(),
+        safety=api.Safety(drain_grace=1.0),
+        must_ask_for_list=not pushed,
+    )
+    destinations = DestinationSet(Names((), (), ("a",), ("m",)), clock)
+    watch = Watch(Address.parse("127.0.0.1:1"), destinations, clock, lambda listed: None, settings, 1)
+    timers: list[float] = []
+
+    def at(when: float, then: Any) -> None:
+        timers.append(when)
+        if when < inf:
+            then()
+
+    watch.begin({"rev": 1, "all": True, "targets": targets}, at)
+    return watch, timers
+
+
+@pytest.mark.parametrize("pushed", [True, False])
+def test_the_simulation_holds_a_process_for_ready_when_its_watch_does(pushed: bool) -> None:
+    watch, timers = begun(pushed, [TARGET])
+    assert watch.informed
+    (ingress,) = Restarts(1, Wave(1, 1, pushed=pushed, down=9_000.0)).play().ingresses
+    assert ingress.ready == (timers[0] if pushed else 0.0)
+    assert not begun(pushed, [])[0].informed
+    (ingress,) = Restarts(1, Wave(1, 1, pushed=pushed, known=False, down=9_000.0)).play().ingresses
+    assert ingress.ready > 9_000.0
+
+
+def test_pauses_of_one_seed_are_the_same_each_time() -> None:
+    first, second = (Restarts(3, Wave(known=False)).play() for _ in range(2))
+    assert [one.ready for one in first.ingresses] == [one.ready for one in second.ingresses]
+    assert len({one.paused for one in first.ingresses}) > 100, "no two draw alike"
