--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -168,15 +168,15 @@
             return self._steer(units, worth, c, chance, c.rest * gap, False)
         return chance if c.store.level >= units else 0.0
 
-    def _steer(self, units: float, worth: float, c: Customer, chance: float, gone: float, told: bool) -> float:
+    def _steer(self, units: float, worth: float, c: Customer, chance: float, use: float, told: bool) -> float:
         """Above phi: the design's chance at a reserve in the customer's store, rising to 1 over it (what the
-        store holds is inside the quota), to 0 under it. Cheaper classes leave more to the others. `gone`:
+        store holds is inside the quota), to 0 under it. Cheaper classes leave more to the others. `use`:
         what the others will have taken since they were heard of."""
         if not self.s.plans[c.plan].rate:
             return chance
         low = 1 - worth / self.dearest
         reserve = TOLD_RESERVE + TOLD_LOW * low if told else RESERVE + RESERVE_LOW * low
-        left = (c.store.level - gone - units) / self.s.plans[c.plan].burst / reserve
+        left = (c.store.level - use - units) / self.s.plans[c.plan].burst / reserve
         return chance * max(0.0, left) if left < 1 else chance + (1 - chance) * min(1.0, left - 1)
 
     def _customer(self, key: int, number: int) -> Customer:
--- a/dockthread/module/pool.py
+++ b/dockthread/module/pool.py
@@ -124,6 +124,11 @@
     def __iter__(self) -> Iterator[Worker]:
         return (worker for worker in self._slots if worker.ready)
 
+    @property
+    def total(self) -> float:
+        """The shares of all that are ready, as they were summed up last."""
+        return self._sums[-1] if self._sums else 0.0
+
     def draw(self, rng: random.Random, count: int) -> list[Worker]:
         if not self._sums or not self._sums[-1]:
             return []
