Put published routes and addresses in force at an ingress, and test with processes

Need: an ingress has to take what the distribution brings, keep the last good one of what it refuses, and start from its cache. Change: distribution/ingress.py joins the client to routes and addresses, serve.py starts it where [control] has the role ingress; at SIGHUP classes are taken over before routes that may name them.

--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 from itertools import islice
+from pathlib import Path
 from typing import Final, Protocol
 
 from loguru import logger
@@ -22,6 +23,7 @@
 from dockthread.clock import Clock
 from dockthread.distribution.cache import Cache
 from dockthread.distribution.messages import MOST_FRAME, Message, Rejection, Resource
+from dockthread.distribution.options import ControlOptions
 from dockthread.distribution.stream import FrameStream
 from dockthread.distribution.subscriber import (
     Action,
@@ -315,3 +317,12 @@
 
 def _short(one: Rejection) -> Rejection:
     return Rejection(one.kind, one.name, one.revision, one.reason[:MOST_REASON])
+
+
+def servers_of(options: ControlOptions) -> list[Server]:
+    near = [Server(server, 0) for server in options.servers]
+    return near + [Server(server, 1) for server in options.far_servers]
+
+
+def cache_of(options: ControlOptions, name: str) -> Cache | None:
+    return Cache(Path(options.cache), name, options.cache_interval) if options.cache else None
--- /dev/null
+++ b/dockthread/distribution/ingress.py
@@ -0,0 +1,124 @@
+"""What an ingress does with what it receives: routes over the file's, and the addresses of discovery and counter."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from dockthread.distribution.client import Client, cache_of, servers_of
+from dockthread.distribution.kinds import ADDRESS, ROUTE, BadResource, address_of, route_of
+from dockthread.distribution.messages import Rejection, Resource
+from dockthread.distribution.options import ControlOptions
+from dockthread.routes.layers import Layers
+from dockthread.settings import Address, Config
+
+if TYPE_CHECKING:
+    from dockthread.net.ingress import Ingress
+
+NO_COUNTER = "this ingress was started without a counter: it asks none"
+
+
+class Controlled:
+    """Puts resources in force at one ingress. `layers`: its routes."""
+
+    def __init__(self, ingress: Ingress, layers: Layers, options: ControlOptions) -> None:
+        """Puts in force what the cache holds. Raises ValueError where the key cannot be used."""
+        self._ingress, self._layers = ingress, layers
+        self._configured = ingress.config  # what holds without what was published
+        self._addresses: dict[str, Address] = {}
+        self._in_force: dict[tuple[str, str], Resource] = {}
+        self._refused: list[Rejection] = []
+        name, rng = ingress.config.name, random.Random(secrets.randbits(64))
+        self.client = Client(
+            name,
+            servers_of(options),
+            self,
+            ingress.clock,
+            rng,
+            options.key(),
+            options.region,
+            options.zone,
+            cache_of(options, name),
+        )
+
+    def open(self) -> None:
+        self.client.open()
+
+    async def close(self) -> None:
+        await self.client.close()
+
+    def layered(self, config: Config) -> Config:
+        """A configuration as it was read again, with the addresses that were published."""
+        self._configured = config
+        return replace(
+            config,
+            discovery=self._addresses.get("discovery", config.discovery),
+            counter=self._addresses.get("counter", config.counter),
+        )
+
+    # What its client tells (client.py, Owner)
+
+    def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        refused = []
+        for one in changes:
+            if reason := self._apply(one):
+                refused.append(Rejection(one.kind, one.name, one.revision, reason))
+                continue
+            if one.body is None:
+                self._in_force.pop((one.kind, one.name), None)
+            else:
+                self._in_force[one.kind, one.name] = one
+        self._refused += refused
+        return refused
+
+    def in_force(self, kind: str, name: str) -> Resource | None:
+        return self._in_force.get((kind, name))
+
+    def settled(self) -> None:
+        if self._refused:
+            first = self._refused[0]
+            told = "control: {} refused, the last good one stays; the first is {} {} of revision {}: {}"
+            logger.warning(told, len(self._refused), first.kind, first.name, first.revision, first.reason)
+            self._refused = []
+
+    def _apply(self, one: Resource) -> str:
+        """The reason where it is refused."""
+        try:
+            if one.kind == ROUTE:
+                return self._route(one)
+            if one.kind == ADDRESS:
+                return self._address(one)
+        except BadResource as error:
+            return str(error)
+        return "" if one.body is None else f"this release knows no kind {one.kind}"
+
+    def _route(self, one: Resource) -> str:
+        now = self._ingress.clock.now() / 1000.0
+        if one.body is None:
+            self._layers.remove(one.name, now)
+            return ""
+        return self._layers.put(one.name, route_of(one.name, one.body), now)
+
+    def _address(self, one: Resource) -> str:
+        if one.body is None:
+            self._addresses.pop(one.name, None)
+        else:
+            at = address_of(one.name, one.body)
+            if one.name == "counter" and self._configured.counter is None:
+                return NO_COUNTER
+            self._addresses[one.name] = at
+        self._move()
+        return ""
+
+    def _move(self) -> None:
+        """As the configuration of a SIGHUP does (`Ingress.reconfigure`)."""
+        ingress = self._ingress
+        config = self.layered(self._configured)
+        ingress.config = replace(ingress.config, discovery=config.discovery, counter=config.counter)
+        ingress.watch.move(config.discovery)
+        ingress.counter.move(config.counter)
--- a/dockthread/distribution/process.py
+++ b/dockthread/distribution/process.py
@@ -9,20 +9,17 @@
 import signal
 import sys
 from collections.abc import Sequence
-from pathlib import Path
 from typing import Protocol
 
 import uvloop
 from loguru import logger
 
 from dockthread.clock import Clock
-from dockthread.distribution.cache import Cache
-from dockthread.distribution.client import Client
+from dockthread.distribution.client import Client, cache_of, servers_of
 from dockthread.distribution.fanout import FanoutLimits
 from dockthread.distribution.messages import Rejection, Resource
 from dockthread.distribution.options import ControlOptions
 from dockthread.distribution.server import Server, ServerLimits
-from dockthread.distribution.subscriber import Server as From
 from dockthread.distribution.voter import Voter
 from dockthread.fleet.options import FleetOptions
 from dockthread.fleet.store import Lost
@@ -100,15 +97,6 @@
             self._server.changed()
 
 
-def servers_of(options: ControlOptions) -> list[From]:
-    near = [From(server, 0) for server in options.servers]
-    return near + [From(server, 1) for server in options.far_servers]
-
-
-def cache_of(options: ControlOptions, name: str) -> Cache | None:
-    return Cache(Path(options.cache), name, options.cache_interval) if options.cache else None
-
-
 def limits_of(options: ControlOptions) -> tuple[ServerLimits, FanoutLimits]:
     most = options.most_connections
     server = ServerLimits(most + ASKING, options.write_buffer)
--- a/dockthread/routes/layers.py
+++ b/dockthread/routes/layers.py
@@ -42,9 +42,10 @@
         for name in [*routes, *(before.keys() & self.published.keys()) - routes.keys()]:
             self._put(name, self.published.get(name) or routes[name], now)
 
-    def set_settings(self, settings: api.Settings) -> None:
-        """Against which further changes are proved."""
-        self._settings = settings
+    def set_settings(self, settings: api.Settings, names: Names) -> None:
+        """Against which further changes are proved. Names that were known before keep their numbers."""
+        self._settings, self._names, self._numbers = settings, names, Numbers(names)
+        self.table.set_names(names)
 
     def put(self, name: str, route: RouteOptions, now: float) -> str:
         """Put a published route in force, in place of the one of its name. The reason where it is refused; then
--- a/dockthread/routes/table.py
+++ b/dockthread/routes/table.py
@@ -59,6 +59,10 @@
     def __bool__(self) -> bool:
         return bool(self._matchers)
 
+    def set_names(self, names: Names) -> None:
+        """More names than before, each old one at its number."""
+        self._numbers = Numbers(names)
+
     def replace(self, routes: Mapping[str, RouteOptions], now: float) -> None:
         """Other routes from now on, in their order. What was spent carries over by name; one that is gone drains.
         Raises KeyError for a name that the settings do not know (`check` says so first)."""
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -27,9 +27,11 @@
 from dockthread.settings import Config, SettingsError, read_config, reread_config
 
 if TYPE_CHECKING:
+    from dockthread.distribution.ingress import Controlled
+    from dockthread.distribution.options import ControlOptions
     from dockthread.operator_file.reader import Read
     from dockthread.ops import door
-    from dockthread.routes.table import Table
+    from dockthread.routes.layers import Layers
     from dockthread.telemetry.exporter import Exporter
     from dockthread.work.host import Work
 
@@ -60,7 +62,9 @@
         self._no_part = ""
         self._work: Work | None = None  # its part in a fleet, where the operator's file has one
         self._fleet = read.named("fleet")[""] if read is not None else None
-        self._routes: Table | None = None
+        self._control: ControlOptions | None = read.named("control")[""] if read is not None else None
+        self._controlled: Controlled | None = None  # what receives configuration, where the operator's file has it
+        self._routes: Layers | None = None
         self._applied: dict[str, object] = {}
         self._reloading: asyncio.Task[None] | None = None
         self._asked_again = False
@@ -120,17 +124,42 @@
     def _apply(self, read: Read) -> None:
         """Raises SettingsError, and then nothing has changed."""
         self._apply_telemetry(read)
+        self._apply_routes(read)
+
+    def _apply_routes(self, read: Read) -> None:
         routes, ingress = read.named("route"), self.ingress
         if self._routes is None and routes:
-            from dockthread.routes.table import Table
-
-            self._routes = Table(ingress.config.names, ingress.config.module.zone, ingress.config.seed)
-            ingress.routes = self._routes
+            self._routes = self._layers()
         if self._routes is not None and routes != self._applied:
-            self._routes.replace(routes, ingress.clock.now() / 1000.0)
+            self._routes.set_file(routes, ingress.clock.now() / 1000.0)
             logger.info("routes: {}", ", ".join(routes) or "none")
         self._applied = routes
 
+    def _layers(self) -> Layers:
+        from dockthread.routes.layers import Layers
+        from dockthread.routes.table import Table
+
+        config = self.ingress.config
+        table = self.ingress.routes = Table(config.names, config.module.zone, config.seed)
+        return Layers(table, config.module, config.names)
+
+    def _receive(self) -> None:
+        """Configuration, where [control] names servers: first what the cache holds. Raises SettingsError."""
+        options = self._control
+        if options is None or options.role is None:
+            return
+        if options.role != "ingress":
+            wrong = f"{self._file}: [control] role: is {options.role}, and this is an ingress"
+            raise SettingsError(f"{wrong}; `dockthread control serve` runs it")
+        from dockthread.distribution.ingress import Controlled
+
+        self._routes = self._routes or self._layers()
+        try:
+            self._controlled = Controlled(self.ingress, self._routes, options)
+        except ValueError as error:
+            raise SettingsError(str(error)) from error
+        self._controlled.open()
+
     def _apply_telemetry(self, read: Read) -> None:
         if self._exporter is None and not (read.named("graphite") or read.named("collectd")):
             return
@@ -168,9 +197,12 @@
                 logger.error("{}", self._no_part)
             except ValueError as error:
                 raise SettingsError(str(error)) from error
+        self._receive()
         try:
             await self.ingress.run()
         finally:
+            if self._controlled is not None:
+                await self._controlled.close()
             if self._work is not None:
                 await self._work.close()
             if opened is not None:
@@ -190,22 +222,33 @@
         while self._asked_again:
             self._asked_again = False
             try:
-                config = reread_config(os.environ)
+                config, read = reread_config(os.environ), None
                 if self._file is not None:
                     from dockthread.sections import load
 
                     read = await asyncio.to_thread(load, self._file, config.module, config.names)
-                    self._apply(read)
-                    if read.named("fleet")[""] != self._fleet:
-                        logger.warning("[fleet] has changed: it holds from the next start on")
+                    self._apply_telemetry(read)
             except SettingsError as error:
                 self.rejected += 1
                 logger.warning("the old configuration stays: {}", error)
                 continue
             self.applied += 1
-            self.ingress.reconfigure(config)
+            self._take_over(config, read)
             logger.info("configuration read again: discovery at {}, counter at {}", config.discovery, config.counter)
 
+    def _take_over(self, config: Config, read: Read | None) -> None:
+        """First the classes, which routes may name."""
+        if self._controlled is not None:
+            config = self._controlled.layered(config)
+        self.ingress.reconfigure(config)
+        if self._routes is not None:
+            self._routes.set_settings(self.ingress.config.module, self.ingress.config.names)
+        if read is not None:
+            self._apply_routes(read)
+            for section, held in (("fleet", self._fleet), ("control", self._control)):
+                if read.named(section)[""] != held:
+                    logger.warning("[{}] has changed: it holds from the next start on", section)
+
 
 async def _serve(config: Config, file: str | None, read: Read | None, trace: bool, early: list[int]) -> None:
     daemon = Daemon(config, file, read, trace)
--- /dev/null
+++ b/tests/control_rig.py
@@ -0,0 +1,140 @@
+"""Voters, distributors and ingresses as real processes on loopback; each is ended by its own id."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from dockthread.distribution import asking
+from dockthread.distribution.messages import Published, Status, StatusRequest, SubscriberStatus
+from dockthread.fleet.store import Store
+from dockthread.lab.fleet.rig import reserved
+from dockthread.settings import Address
+from tests.loopback import LIST, raw_config
+
+KEY = b"a key of 16 bytes or more"
+VOTERS, DISTRIBUTORS, INGRESSES = ("v0", "v1", "v2"), ("d0", "d1"), ("n0", "n1")
+MOST = 20.0  # s: a generous bound on any progress
+
+
+class ControlRig:
+    """Names of processes are those of `VOTERS`, `DISTRIBUTORS` and `INGRESSES`."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._reserved = [reserved() for _ in range(8)]
+        ports = [Address(*one.getsockname()[:2]) for one in self._reserved]
+        self.at = dict(zip((*VOTERS, *DISTRIBUTORS), ports, strict=False))
+        self._fleet = dict(zip(VOTERS, ports[5:], strict=True))
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        (folder / "key").write_bytes(KEY)
+
+    @property
+    def voters(self) -> list[Address]:
+        return [self.at[name] for name in VOTERS]
+
+    @property
+    def distributors(self) -> list[Address]:
+        return [self.at[name] for name in DISTRIBUTORS]
+
+    def start(self, *names: str) -> None:
+        for name in names:
+            home = self.folder / name
+            home.mkdir(exist_ok=True)
+            (home / "control.ini").write_text(self._ini(name, home))
+            environ = {**os.environ, "TMPDIR": str(home)}
+            words = ["control", "serve", "--config", str(home / "control.ini")]
+            if name in INGRESSES:
+                (home / "config.json").write_text(json.dumps(raw_config(LIST, 9, name=name)))
+                environ["NODE_CONFIG"] = str(home / "config.json")
+                words = ["serve", "--config", str(home / "control.ini")]
+            with (home / "out").open("ab") as out:
+                command = [sys.executable, "-m", "dockthread", *words]
+                self.processes[name] = subprocess.Popen(command, env=environ, stdout=out, stderr=out)
+
+    def start_missing(self) -> None:
+        self.start(*(name for name in (*VOTERS, *DISTRIBUTORS, *INGRESSES) if name not in self.processes))
+
+    def _ini(self, name: str, home: Path) -> str:
+        near = self.distributors if name in INGRESSES else self.voters
+        servers = f"servers = {', '.join(map(str, near))}\n"
+        common = f"[control]\nkey_file = {self.folder / 'key'}\nheartbeat = 200ms\n"
+        cache = f"cache = {home}\ncache_interval = 100ms\n"
+        if name in INGRESSES:
+            return f"{common}{cache}{servers}role = ingress\nregion = r1\nzone = z{name[1]}\n"
+        common += f"name = {name}\nlisten = {self.at[name]}\n"
+        if name in DISTRIBUTORS:
+            return f"{common}{cache}{servers}role = distributor\n"
+        if not (home / "log").exists():
+            Store(home / "log", name, make=True).close()
+        members = ", ".join(f"{other}={at}" for other, at in self._fleet.items())
+        fleet = f"[fleet]\nlisten = {self._fleet[name]}\nmembers = {members}\ndirectory = {home / 'log'}\n"
+        return f"{common}role = voter\n{fleet}"
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        self.processes[name].send_signal(number)
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
+
+    def close(self) -> None:
+        self.kill(*self.processes)
+        for one in self._reserved:
+            one.close()
+
+    def out(self, name: str) -> str:
+        return (self.folder / name / "out").read_text()
+
+    def command(self, words: str, servers: list[Address], body: str = "") -> subprocess.CompletedProcess[str]:
+        """`dockthread control WORDS`, to its end."""
+        at = ["--servers", ",".join(map(str, servers)), "--key-file", str(self.folder / "key")]
+        command = [sys.executable, "-m", "dockthread", "control", *words.split(), *at]
+        return subprocess.run(command, input=body, capture_output=True, text=True, timeout=MOST)
+
+    def publish(self, kind: str, name: str, body: Any) -> Published:
+        """Raises AssertionError where it is not accepted."""
+        data = None if body is None else json.dumps(body).encode()
+        answer = asyncio.run(asking.publish(self.voters, asking.change(kind, name, data), KEY, MOST))
+        assert answer.revision > 0, answer
+        return answer
+
+    def status(self, name: str) -> Status | None:
+        """None where it does not answer."""
+        try:
+            answer = asyncio.run(asking.ask(self.at[name], StatusRequest(), KEY, 0.5))
+        except asking.NoAnswer:
+            return None
+        assert isinstance(answer, Status)
+        return answer
+
+    def standing(self) -> dict[str, SubscriberStatus]:
+        """Of the ingresses that are connected, by all distributors that answer."""
+        told = [found for name in DISTRIBUTORS if (found := self.status(name)) is not None]
+        return {one.name: one for found in told for one in found.subscribers if one.connected}
+
+    def server_of(self, ingress: str) -> str:
+        """The distributor that an ingress receives from; empty for none."""
+        for name in DISTRIBUTORS:
+            found = self.status(name) if name in self.processes else None
+            if found is not None and any(one.name == ingress and one.connected for one in found.subscribers):
+                return name
+        return ""
+
+    def in_force(self, revision: int) -> Callable[[], bool]:
+        """Whether every ingress has told that it has come so far."""
+
+        def reached() -> bool:
+            found = self.standing()
+            return len(found) == len(INGRESSES) and all(one.revision >= revision for one in found.values())
+
+        return reached
