Ask the leader of the agreed log again where its answer is lost

Cause: what a follower hands to its leader is let go with a connection that breaks, as at a start, and was not asked again unless another led: a change published to a follower took 6.4 s once. Change: Member asks again after 500 ms; the owner knows a command that comes twice for the same, as before.

--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -41,6 +41,7 @@
 KEEP_ENTRIES = 512  # applied entries in the log before a state takes their place
 STATE_AN_ENTRY = 1 << 10  # bytes of the state before for each further entry: a large one is written more seldom
 RETRY = 50.0  # ms between tries while nobody leads
+ASKING = 500.0  # ms until the leader is asked again: the question or its answer may have been lost with a connection
 HANDING = 300.0  # ms that a leader waits for another at the end of its life
 
 
@@ -141,8 +142,8 @@
 
     async def propose(self, data: bytes, most: float = 3_000.0) -> int:
         """The index at which it stands, once that is agreed and applied here; 0 where that is not known within `most`
-        ms: then it may stand or not. It is handed to whoever leads, and again to the next one when that changes, so
-        the owner has to know it for the same when it comes twice."""
+        ms: then it may stand or not. It is handed to whoever leads, and again where that changes or no answer comes,
+        so the owner has to know it for the same when it comes twice."""
         try:
             async with asyncio.timeout(most / 1000.0):
                 while not (index := await self._try(data)):
@@ -169,7 +170,10 @@
         self._asked[token] = future
         self._links[core.leader].send(wire.Ask(core.term, self.name, token, data))
         try:
-            return await future
+            async with asyncio.timeout(ASKING / 1000.0):
+                return await future
+        except TimeoutError:
+            return 0
         finally:
             self._asked.pop(token, None)
 
