Play a whole distribution in simulated time: voters, distributors, ingresses, faults

Change: dockthread/lab/distribution/ plays three voters with the real agreement and state machine, six distributors and 24 ingresses, judged by a checker of its own; outcomes of tokens, refusals too, are now part of the agreed state and final, since a late copy of a change could be accepted after its publisher was told no, and validators judge only before a change is proposed, as voters of two releases would part.

--- a/dockthread/distribution/publishing.py
+++ b/dockthread/distribution/publishing.py
@@ -1,10 +1,12 @@
 """The state machine of the agreed log of control: accepts each change once and gives it a revision.
 
-Theory of operation. A publisher's change is checked against bounds, the validator of its kind and the revision it
-expects (`refusal`), proposed to the log (`proposal`), and judged once more by the same rules when it is applied, as
-another may have come between: by the same log every voter comes to the same table and answers. A publisher that saw
-no answer asks again with the same token: the outcome under that token is remembered among the last `MOST_TOKENS`, so
-the change counts once. A refusal is not remembered: a repeated question may be answered anew.
+Theory of operation. A publisher's change is checked before it is proposed against bounds and the validator of its
+kind (`refusal`), and goes into the log (`proposal`). What depends on the state, whether the resource is at the
+revision that the change expects, is judged only when the entry is applied, where it is the same on every voter. The
+bounds are judged once more there, the validators not: voters of two releases may hold different ones while they are
+upgraded, and would part for good. The outcome under a token, accepted or refused, is part of the state and final
+while it is among the last `MOST_TOKENS`: a publisher that saw no answer asks again with the same token, and one
+change of two that were proposed counts, whichever comes late.
 
 `epoch` names the history: it is drawn from the nonce of the first change that is accepted, so that a log begun anew
 is told apart from the one before. It is empty until then.
@@ -16,12 +18,12 @@
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from hashlib import blake2b
-from typing import Final, TypeVar
+from typing import Final
 
 import msgspec
 
 from dockthread.distribution.messages import MOST_BODY, MOST_NAME, Publish, Published, Resource
-from dockthread.distribution.resources import ResourceTable
+from dockthread.distribution.resources import MOST_TOMBSTONES, ResourceTable
 
 MOST_TOKENS: Final = 65_536  # outcomes remembered: about a week of changes
 MOST_TOKEN: Final = 64  # bytes of a token
@@ -40,10 +42,11 @@
 
 
 class Outcome(msgspec.Struct, frozen=True, array_like=True):
-    """What became of an accepted change."""
+    """What became of a change: `revision` where it was accepted, 0 and a reason where not."""
 
     token: str
     revision: int
+    reason: str = ""
 
 
 class State(msgspec.Struct, frozen=True, array_like=True):
@@ -56,8 +59,6 @@
     outcomes: tuple[Outcome, ...]
 
 
-Kept = TypeVar("Kept")
-
 _proposal_decoder = msgspec.msgpack.Decoder(Proposal)
 _state_decoder = msgspec.msgpack.Decoder(State)
 
@@ -70,27 +71,31 @@
     """
 
     def __init__(
-        self, validators: Mapping[str, Validator], rng: random.Random, most_tokens: int = MOST_TOKENS
+        self,
+        validators: Mapping[str, Validator],
+        rng: random.Random,
+        most_tokens: int = MOST_TOKENS,
+        most_tombstones: int = MOST_TOMBSTONES,
     ) -> None:
-        self.table = ResourceTable()
+        self.table = ResourceTable(most_tombstones=most_tombstones)
         self.undecodable = 0  # entries that mean nothing here
         self._validators, self._rng, self._most_tokens = dict(validators), rng, most_tokens
-        self._outcomes: OrderedDict[str, int] = OrderedDict()  # revision by token
-        self._refused: OrderedDict[str, str] = OrderedDict()  # reason by token, of this life only
+        self._outcomes: OrderedDict[str, Outcome] = OrderedDict()  # by token
 
     def answer(self, token: str) -> Published | None:
-        """What is known here of a change that was applied; None for nothing."""
-        if token in self._outcomes:
-            return Published(token, self._outcomes[token])
-        if token in self._refused:
-            return Published(token, 0, self._refused[token])
-        return None
+        """What became of a change that was applied; None where it is not known here."""
+        outcome = self._outcomes.get(token)
+        return None if outcome is None else Published(token, outcome.revision, outcome.reason)
 
     def refusal(self, publish: Publish) -> str:
-        """Why the change would be refused now; empty where it would be accepted."""
-        if not 0 < len(publish.token.encode()) <= MOST_TOKEN:
-            return f"a token has 1 to {MOST_TOKEN} bytes"
-        return self._bad_resource(publish) or self._unexpected(publish)
+        """Why the change may not be proposed, whatever the state; empty where it may. That refusal is final too."""
+        validator = self._validators.get(publish.kind)
+        if validator is None:
+            return f"no such kind: {publish.kind}"
+        reason = _out_of_bounds(publish)
+        if reason or publish.body is None:
+            return reason
+        return validator(publish.name, publish.body)
 
     def proposal(self, publish: Publish) -> bytes:
         """What is to be proposed to the log. Whoever proposes asks `answer` and `refusal` before."""
@@ -106,46 +111,35 @@
         publish = proposal.publish
         if publish.token in self._outcomes:
             return
-        if reason := self.refusal(publish):
-            self._remember(self._refused, publish.token, reason)
-            return
-        if not self.table.epoch:
-            self.table.epoch = blake2b(data, digest_size=8).hexdigest()
-        revision = self.table.revision + 1
-        self.table.put(Resource(publish.kind, publish.name, revision, publish.body))
-        self._refused.pop(publish.token, None)
-        self._remember(self._outcomes, publish.token, revision)
+        reason = _out_of_bounds(publish) or self._unexpected(publish)
+        revision = 0 if reason else self._accept(publish, data)
+        self._remember(Outcome(publish.token, revision, reason))
 
     def state(self) -> bytes:
         """All that is held, for a snapshot of the log."""
         table = self.table
-        outcomes = tuple(Outcome(token, revision) for token, revision in self._outcomes.items())
-        held = State(table.epoch, table.revision, table.horizon, tuple(table.entries()), outcomes)
+        entries, outcomes = tuple(table.entries()), tuple(self._outcomes.values())
+        held = State(table.epoch, table.revision, table.horizon, entries, outcomes)
         return msgspec.msgpack.encode(held)
 
     def restore(self, index: int, state: bytes) -> None:
         """A whole state, in place of all entries up to `index`. Raises `msgspec.MsgspecError` for none."""
         held = _state_decoder.decode(state)
         self.table.load(held.epoch, held.revision, held.horizon, held.entries)
-        self._outcomes = OrderedDict((outcome.token, outcome.revision) for outcome in held.outcomes)
+        self._outcomes = OrderedDict((outcome.token, outcome) for outcome in held.outcomes)
 
-    def _remember(self, kept: OrderedDict[str, Kept], token: str, what: Kept) -> None:
-        kept[token] = what
-        while len(kept) > self._most_tokens:
-            kept.popitem(last=False)
+    def _accept(self, publish: Publish, data: bytes) -> int:
+        """The revision that it becomes."""
+        if not self.table.epoch:
+            self.table.epoch = blake2b(data, digest_size=8).hexdigest()
+        revision = self.table.revision + 1
+        self.table.put(Resource(publish.kind, publish.name, revision, publish.body))
+        return revision
 
-    def _bad_resource(self, publish: Publish) -> str:
-        for word, text in (("kind", publish.kind), ("name", publish.name)):
-            if not 0 < len(text.encode()) <= MOST_NAME or not text.isprintable():
-                return f"a {word} has 1 to {MOST_NAME} bytes and can be printed"
-        validator = self._validators.get(publish.kind)
-        if validator is None:
-            return f"no such kind: {publish.kind}"
-        if publish.body is None:
-            return ""
-        if len(publish.body) > MOST_BODY:
-            return f"{len(publish.body)} bytes, and {MOST_BODY} are the most"
-        return validator(publish.name, publish.body)
+    def _remember(self, outcome: Outcome) -> None:
+        self._outcomes[outcome.token] = outcome
+        while len(self._outcomes) > self._most_tokens:
+            self._outcomes.popitem(last=False)
 
     def _unexpected(self, publish: Publish) -> str:
         there = self.table.get(publish.kind, publish.name)
@@ -155,3 +149,15 @@
         if publish.body is None and there is None:
             return "there is nothing to delete"
         return ""
+
+
+def _out_of_bounds(publish: Publish) -> str:
+    """Which bound the change breaks, whatever the state; empty for none."""
+    if not 0 < len(publish.token.encode()) <= MOST_TOKEN:
+        return f"a token has 1 to {MOST_TOKEN} bytes"
+    for word, text in (("kind", publish.kind), ("name", publish.name)):
+        if not 0 < len(text.encode()) <= MOST_NAME or not text.isprintable():
+            return f"a {word} has 1 to {MOST_NAME} bytes and can be printed"
+    if publish.body is not None and len(publish.body) > MOST_BODY:
+        return f"{len(publish.body)} bytes, and {MOST_BODY} are the most"
+    return ""
--- a/dockthread/distribution/resources.py
+++ b/dockthread/distribution/resources.py
@@ -113,6 +113,7 @@
         self.whole, self.bytes = other.whole, other.bytes
         self._packed, self._tombstones = other._packed, other._tombstones
         self._live, self._sum = other._live, other._sum
+        self._forget_tombstones()
 
     def difference(self, newer: ResourceTable) -> tuple[Resource, ...]:
         """What has to be put, and what deleted, for a holder of this table to hold the live resources of `newer`."""
--- /dev/null
+++ b/dockthread/lab/distribution/voter.py
@@ -0,0 +1,137 @@
+"""A simulated voter: the agreed log with the real state machine on it, and its table served to distributors."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
+
+from dockthread.distribution.messages import Publish, Published
+from dockthread.distribution.publishing import NOT_KNOWN
+from dockthread.fleet.actions import Action, Apply, Keep, KeepState, Restore, Role, Send, Stored, Times
+from dockthread.fleet.agreement import Agreement
+from dockthread.fleet.wire import COMMAND, Append
+from dockthread.fleet.wire import Message as LogMessage
+from dockthread.lab.distribution.network import Connection
+from dockthread.lab.distribution.nodes import Process, ServingSide
+
+TIMES: Final = Times(patience=600.0, beat=200.0)
+KEEP_ENTRIES: Final = 40  # applied entries before a state takes their place
+Reply = Callable[[Published], None]
+
+
+class Voter(Process):
+    """Its disk holds the log; writes take effect at once."""
+
+    def begin(self) -> None:
+        if self.life == 1:
+            self.disk = Stored()
+        world = self.world
+        stored = replace(self.disk, entries=list(self.disk.entries))
+        rng = random.Random(world.rng.random())
+        self.core = Agreement(self.name, world.voter_names, stored, TIMES, rng, world.clock.now)
+        self.publishing = world.make_publishing()
+        if stored.base:
+            self.publishing.restore(stored.base, stored.state)
+        self.server = ServingSide(self, world.make_fanout(self, self.publishing.table))
+        self._replies: dict[str, list[Reply]] = {}
+        self._current_at: float | None = None
+
+    def due(self) -> float:
+        return min(self.core.due(), self.server.fanout.due())
+
+    def tick(self) -> None:
+        now = self.world.clock.now
+        if self.core.due() <= now:
+            self._do(self.core.tick(now))
+        self._freshen()
+        if self.server.fanout.due() <= now:
+            self.server.tick()
+
+    def pump(self) -> None:
+        self._freshen()
+        self.server.pump()
+
+    def accepted(self, connection: Connection) -> None:
+        self.server.accepted(connection)
+
+    def room(self, connection: Connection) -> None:
+        if self.server.has(connection):
+            self._freshen()
+            self.server.pump_one(connection)
+        self.settle()
+
+    def frame(self, connection: Connection, data: bytes) -> None:
+        if self.server.has(connection):
+            self._freshen()
+            self.server.frame(connection, data)
+        self.settle()
+
+    def broken(self, connection: Connection) -> None:
+        if self.server.has(connection):
+            self.server.broken(connection)
+        self.settle()
+
+    def log_message(self, life: int, message: LogMessage) -> None:
+        """From another voter."""
+        if not self.up or self.life != life:
+            return
+        if self.stalled:
+            self.world.clock.after(self.world.again, self.log_message, life, message)
+            return
+        self._do(self.core.heard(self.world.clock.now, message))
+        if isinstance(message, Append) and message.commit <= self.core.applied:
+            self._current_at = self.world.clock.now
+        self.settle()
+
+    def publish(self, message: Publish, reply: Reply) -> None:
+        """A publisher asks; only a leader takes it."""
+        refused = self.publishing.refusal(message)
+        if refused:
+            reply(Published(message.token, 0, refused))
+            return
+        if self.core.role is not Role.LEADER:
+            reply(Published(message.token, NOT_KNOWN, "another leads"))
+            return
+        index, actions = self.core.propose(self.world.clock.now, self.publishing.proposal(message))
+        if index is None:
+            reply(Published(message.token, NOT_KNOWN, "another is to lead"))
+        else:
+            self._replies.setdefault(message.token, []).append(reply)
+        self._do(actions)
+        self.settle()
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Keep():
+                    self.disk.keep(action)
+                case KeepState():
+                    self.disk.keep_state(action)
+                case Send(to, message):
+                    self.world.send_log(self, to, message)
+                case Apply(index, entry):
+                    if entry.kind == COMMAND:
+                        self._apply(index, entry.data)
+                case Restore(index, state):
+                    self.publishing.restore(index, state)
+        if self.core.applied - self.core.log.base > KEEP_ENTRIES:
+            self._do(self.core.compact(self.core.applied, self.publishing.state()))
+
+    def _apply(self, index: int, data: bytes) -> None:
+        self.publishing.apply(index, data)
+        for token in list(self._replies):
+            answer = self.publishing.answer(token)
+            if answer is not None:
+                for reply in self._replies.pop(token):
+                    reply(answer)
+
+    def _freshen(self) -> None:
+        now, core = self.world.clock.now, self.core
+        if core.role is Role.LEADER and core.log.term_at(core.commit) == core.term:
+            heard = core.heard_within(TIMES.patience) | {self.name}
+            if core.majority(heard):
+                self._current_at = now
+        age = -1.0 if self._current_at is None else now - self._current_at
+        self.server.fanout.fresh(now, age)
