--- a/dockthread/lab/distribution/network.py
+++ b/dockthread/lab/distribution/network.py
@@ -71,6 +71,7 @@
     client: Endpoint
     server: Endpoint
     number: int
+    place: int  # among all connections of the world
     lives: tuple[int, int]
     pipes: dict[str, Pipe]  # by the name of the sender
     slow: float = 0.0  # ms a byte
@@ -95,7 +96,8 @@
         self.dark_zones: set[str] = set()
         self.slow: dict[str, float] = {}  # ms a byte to a client
         self.spoil = 0.0  # chance that a frame arrives as rubbish
-        self.connections: dict[int, Connection] = {}  # alive ones, by identity
+        self.connections: dict[int, Connection] = {}  # those that both ends know, by place
+        self._count = 0
 
     def reach(self, a: Endpoint, b: Endpoint) -> bool:
         if a.zone in self.dark_zones or b.zone in self.dark_zones:
@@ -107,8 +109,11 @@
         return self.rng.uniform(0.2, 1.0) * far + self.rng.expovariate(1.0 / self.delay)
 
     def connect(self, client: Endpoint, server: Endpoint, number: int) -> Connection:
+        self._count += 1
         pipes = {client.name: Pipe(), server.name: Pipe()}
-        connection = Connection(client, server, number, (client.life, -1), pipes, self.slow.get(client.name, 0.0))
+        connection = Connection(
+            client, server, number, self._count, (client.life, -1), pipes, self.slow.get(client.name, 0.0)
+        )
         self.clock.after(self.latency(client, server), self._arrive, connection)
         return connection
 
@@ -148,7 +153,7 @@
             self.clock.after(self.latency(server, client), self._told_broken, connection, server)
         else:
             connection.lives = (connection.lives[0], server.life)
-            self.connections[id(connection)] = connection
+            self.connections[connection.place] = connection
             server.accepted(connection)
             self.clock.after(self.latency(server, client), self._opened, connection)
 
@@ -192,7 +197,7 @@
         """The end that `from_end` is not is told that the connection is broken."""
         told = connection.other(from_end)
         if not connection.lives_at(told):
-            self.connections.pop(id(connection), None)
+            self.connections.pop(connection.place, None)
             return
         if told.stalled or not self.reach(from_end, told):
             self.clock.after(AGAIN, self._told_broken, connection, from_end)
@@ -201,5 +206,5 @@
             self.clock.after(1.0, self._told_broken, connection, from_end)  # behind what was sent before
             return
         connection.closed.add(told.name)
-        self.connections.pop(id(connection), None)
+        self.connections.pop(connection.place, None)
         told.broken(connection)
--- a/dockthread/lab/distribution/nodes.py
+++ b/dockthread/lab/distribution/nodes.py
@@ -106,22 +106,22 @@
 
     def __init__(self, process: Process, fanout: Fanout) -> None:
         self._process, self.fanout = process, fanout
-        self._numbers: dict[int, int] = {}  # by connection's identity
+        self._numbers: dict[int, int] = {}  # by connection's place
         self._connections: dict[int, Connection] = {}
         self._count = 0
         self._served: tuple[str, int, bool] = ("", 0, True)
         self._snapshots: set[int] = set()  # connections to which parts of a snapshot are being sent
 
     def has(self, connection: Connection) -> bool:
-        return id(connection) in self._numbers
+        return connection.place in self._numbers
 
     def accepted(self, connection: Connection) -> None:
         self._count += 1
-        self._numbers[id(connection)] = self._count
+        self._numbers[connection.place] = self._count
         self._connections[self._count] = connection
 
     def frame(self, connection: Connection, data: bytes) -> None:
-        number, world = self._numbers[id(connection)], self._process.world
+        number, world = self._numbers[connection.place], self._process.world
         try:
             message = unpacked(data)
             if isinstance(message, Subscribe):
@@ -139,7 +139,7 @@
             self.pump_one(connection)
 
     def broken(self, connection: Connection) -> None:
-        number = self._numbers.pop(id(connection))
+        number = self._numbers.pop(connection.place)
         del self._connections[number]
         self._snapshots.discard(number)
         self.fanout.closed(self._process.world.clock.now, number)
@@ -159,7 +159,7 @@
                 self.pump_one(connection)
 
     def pump_one(self, connection: Connection) -> None:
-        number, world = self._numbers.get(id(connection)), self._process.world
+        number, world = self._numbers.get(connection.place), self._process.world
         if number is None:
             return
         while world.network.has_room(connection, self._process):
