Refuse what no state could make good at whichever voter is asked

Change: Voter.publish asks refusal always, and takes any known outcome for final; a leader counts as current only once it has committed an entry of its term.

--- a/dockthread/distribution/voter.py
+++ b/dockthread/distribution/voter.py
@@ -61,11 +61,9 @@
 
     async def publish(self, change: Publish) -> Published:
         """Have the log agree on a change. The same token counts once."""
-        if (known := self.publishing.answer(change.token)) is not None and known.revision:
+        if (known := self.publishing.answer(change.token)) is not None:
             return known
-        # Only what the leader holds is sure to be the latest: elsewhere the log itself refuses, when it is applied.
-        leads = self.member.leader == self.member.name
-        if leads and (reason := self.publishing.refusal(change)):
+        if reason := self.publishing.refusal(change):
             return Published(change.token, 0, reason)
         if not await self.member.propose(self.publishing.proposal(change), AGREEMENT):
             return Published(change.token, -1, NOT_AGREED)
--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -211,7 +211,7 @@
         if not self.opened:
             return -1.0
         now, core = self._clock.now(), self._agreement
-        if core.role is Role.LEADER:
+        if core.role is Role.LEADER and core.log.term_at(core.commit) == core.term:
             spans = (self._times.beat * n for n in range(1, 1 + int(self._times.patience // self._times.beat)))
             within = next((ms for ms in spans if core.majority(core.heard_within(ms) | {self.name})), None)
             if within is not None and self._carried >= core.commit:
