--- a/dockthread/lab/distribution/network.py
+++ b/dockthread/lab/distribution/network.py
@@ -93,6 +93,7 @@
         self.clock, self.rng = clock, rng
         self.delay = 5.0
         self.cut_regions: set[frozenset[str]] = set()  # pairs that do not reach each other
+        self.cut_links: set[frozenset[str]] = set()  # pairs of processes
         self.dark_zones: set[str] = set()
         self.slow: dict[str, float] = {}  # ms a byte to a client
         self.spoil = 0.0  # chance that a frame arrives as rubbish
@@ -102,6 +103,8 @@
     def reach(self, a: Endpoint, b: Endpoint) -> bool:
         if a.zone in self.dark_zones or b.zone in self.dark_zones:
             return False
+        if frozenset((a.name, b.name)) in self.cut_links:
+            return False
         return frozenset((a.region, b.region)) not in self.cut_regions
 
     def latency(self, a: Endpoint, b: Endpoint) -> float:
