--- a/dockthread/distribution/receiving.py
+++ b/dockthread/distribution/receiving.py
@@ -1,7 +1,9 @@
 """Takes updates into a table, in their order or not at all.
 
 A delta is checked whole before any of it is put. The parts of a snapshot go into a table of their own, which takes
-the place of the held one with the last part; until then the held one stays as it was.
+the place of the held one with the last part; until then the held one stays as it was. A snapshot of an older revision
+than what is held (one that the server encoded some time ago, for a subscriber whose digest differed) goes on to be
+staged, with the deltas behind it, until it has come as far.
 """
 
 from __future__ import annotations
@@ -16,10 +18,6 @@
     """An update that its sender should not have sent; nothing of it was taken."""
 
 
-class OldSnapshot(Exception):
-    """A snapshot that is older than what is held; nothing of it was taken."""
-
-
 class WrongDigest(Exception):
     """A complete update after which the digest differs from the sender's. A snapshot was not taken; a delta was, and
     `changed` is what it changed."""
@@ -31,10 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Taken:
-    """What an update changed in the table; None in `changed` while a snapshot is not complete."""
+    """What an update changed in the table; None in `changed` while a snapshot is staged. `old`: it is complete, and
+    older than what is held."""
 
     changed: tuple[Resource, ...] | None
     snapshot: bool = False
+    old: bool = False
 
 
 class Receiver:
@@ -54,12 +54,10 @@
         self._staged = None
 
     def take(self, update: Update) -> Taken:
-        """Raises `BadUpdate`, `OldSnapshot` or `WrongDigest`; then the connection is of no use any more."""
+        """Raises `BadUpdate` or `WrongDigest`; then the connection is of no use any more."""
         if not update.epoch or (update.complete and not update.digest):
             raise BadUpdate("it names no epoch, or no digest where it is complete")
         if update.snapshot:
-            if self._staged is not None:
-                raise BadUpdate("a snapshot begins within another")
             self._staged = ResourceTable(update.epoch)
         into = self._table if self._staged is None else self._staged
         self._check(update, into)
@@ -78,11 +76,11 @@
     def _end_part(self, update: Update, staged: ResourceTable) -> Taken:
         if not update.complete:
             return Taken(None, snapshot=True)
-        if staged.epoch == self._table.epoch and staged.revision < self._table.revision:
-            raise OldSnapshot(f"a snapshot of revision {staged.revision}, and {self._table.revision} is held")
         if update.digest != staged.digest:
             raise WrongDigest(())
         staged.horizon = max(staged.horizon, update.horizon)
+        if staged.epoch == self._table.epoch and staged.revision < self._table.revision:
+            return Taken(None, snapshot=True, old=True)
         changed = self._table.difference(staged)
         self._table.adopt(staged)
         self._staged = None
--- a/dockthread/distribution/subscriber_actions.py
+++ b/dockthread/distribution/subscriber_actions.py
@@ -81,4 +81,4 @@
     snapshots: int = 0
     deltas: int = 0
     retries_later: int = 0
-    old: int = 0  # resources and snapshots that were older than what was held
+    old: int = 0  # snapshots that were older than what was held, and waited for what followed
