Test the bounds of a server, the cache's file and a reload that brings a class

Need: what the rim promises of memory, limits and broken files was shown only by processes. Change: tests/test_distribution_rim.py: a subscriber that does not read, connections beyond the limit, questions without reading, a cache cut and spoilt at each place, a class and a route that names it in one SIGHUP.

--- /dev/null
+++ b/tests/test_distribution_rim.py
@@ -0,0 +1,157 @@
+"""The rim of the distribution by its parts: a server's bounds, the cache's file, an ingress's reload."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dockthread.clock import Clock
+from dockthread.distribution.cache import BrokenCache, Cache, read
+from dockthread.distribution.fanout import FanoutLimits
+from dockthread.distribution.messages import Resource, StatusRequest, Subscribe, Update, codec
+from dockthread.distribution.resources import ResourceTable
+from dockthread.distribution.server import MOST_REQUEST, Server, ServerLimits
+from dockthread.frames import HEAD
+from dockthread.routes.bounds import Facts
+from dockthread.sections import load
+from dockthread.serve import Daemon
+from dockthread.settings import Address, read_config
+from tests.loopback import LIST, SETTINGS, raw_config, run, until
+
+BODY = bytes(10_000)
+BUFFER, PART = 16 << 10, 64 << 10
+
+
+def served(scenario: Callable[[Server, Address], Coroutine[Any, Any, None]], connections: int = 4) -> None:
+    async def whole() -> None:
+        limits, fanout = ServerLimits(connections, BUFFER), FanoutLimits(part=PART)
+        server = Server(
+            "d", "distributor", ResourceTable("e"), Clock(), random.Random(1), lambda: 0.0, limits, fanout
+        )
+        at = await server.open(Address("127.0.0.1", 0))
+        await scenario(server, at)
+        await server.close()
+
+    run(whole())
+
+
+def put(server: Server, name: str) -> None:
+    server.table.put(Resource("route", name, server.table.revision + 1, BODY))
+    server.changed()
+
+
+def test_a_subscriber_that_does_not_read_holds_a_few_frames_and_is_sent_only_the_latest() -> None:
+    async def scenario(server: Server, at: Address) -> None:
+        put(server, "r0")
+        reader, writer = await asyncio.open_connection(at.host, at.port, limit=1 << 10)
+        writer.write(codec.pack(Subscribe("slow")))
+        await until(server.fanout.connections)
+        (connection,) = server._connections.values()
+        for n in range(2000):
+            put(server, f"r{n % 10}")
+            await asyncio.sleep(0)
+            assert connection.transport is not None
+            assert connection.transport.get_write_buffer_size() <= BUFFER + 2 * PART
+        sent = 0
+        while sent < server.table.revision:
+            head = await reader.readexactly(HEAD.size)
+            message = codec.unpack(head, await reader.readexactly(codec.length(head)))
+            sent = message.revision if isinstance(message, Update) else sent
+        writer.close()
+
+    served(scenario)
+
+
+def test_connections_beyond_the_limit_and_those_that_ask_without_reading_are_closed() -> None:
+    async def scenario(server: Server, at: Address) -> None:
+        for n in range(4):
+            put(server, f"r{n}")
+        first = [await asyncio.open_connection(at.host, at.port) for _ in range(4)]
+        await until(lambda: server.counts.accepted == 4)
+        reader, writer = await asyncio.open_connection(at.host, at.port)
+        assert await reader.read() == b"" and server.counts.refused == 1
+        question = codec.pack(StatusRequest()) * 1000
+        assert len(question) < MOST_REQUEST
+        while not server.counts.unread:
+            first[0][1].write(question)
+            await asyncio.sleep(0)
+        for _, one in [*first, (reader, writer)]:
+            one.close()
+
+    served(scenario)
+
+
+def cached(folder: Path, names: list[str]) -> ResourceTable:
+    """One file, a commit for each name."""
+    table = ResourceTable("e")
+
+    async def write() -> None:
+        cache = Cache(folder, "n0", 0.0)
+        for name in names:
+            one = Resource("route", name, table.revision + 1, name.encode())
+            table.put(one)
+            cache.save(table, [one], ())
+        cache.close()
+
+    asyncio.run(write())
+    return table
+
+
+def test_what_stands_behind_the_last_commit_is_cut_off(tmp_path: Path) -> None:
+    table = cached(tmp_path, ["a", "b", "a"])
+    path = tmp_path / "n0.cache"
+    whole = path.read_bytes()
+    for cut in range(1, 40):  # the last commit, at least in part
+        path.write_bytes(whole[:-cut])
+        found = read(path, "n0")
+        assert found is not None and found.table.revision == table.revision - 1
+        assert {one.name for one in found.table.live()} == {"a", "b"}
+    path.write_bytes(whole)
+    found = read(path, "n0")
+    assert found is not None and (found.table.revision, found.table.digest) == (3, table.digest)
+
+
+def test_any_other_fault_of_a_cache_is_told(tmp_path: Path) -> None:
+    cached(tmp_path, ["a", "b"])
+    path = tmp_path / "n0.cache"
+    whole = path.read_bytes()
+    for at in range(len(whole) // 2):
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x40]) + whole[at + 1 :])
+        with pytest.raises(BrokenCache):
+            read(path, "n0")
+    path.write_bytes(whole)
+    with pytest.raises(BrokenCache, match="is not that of n1"):
+        read(path, "n1")
+
+
+def test_a_class_and_a_route_that_names_it_come_with_one_reload(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path, file = tmp_path / "config.json", tmp_path / "my.ini"
+    path.write_text(json.dumps(raw_config(LIST, 9)))
+    file.write_text("[route a]\nclass = status\n")
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    async def scenario() -> None:
+        config = read_config({"NODE_CONFIG": str(path)})
+        daemon = Daemon(config, str(file), load(str(file), config.module, config.names))
+        new = {**SETTINGS["Classes"][0], "Name": "renew"}
+        path.write_text(
+            json.dumps(raw_config(LIST, 9, settings={**SETTINGS, "Classes": [new, *SETTINGS["Classes"]]}))
+        )
+        file.write_text("[route b]\nclass = renew\nattempts = 2\n")
+        daemon.reload()
+        await until(lambda: daemon.applied)
+        table = daemon._routes.table if daemon._routes is not None else None
+        number = daemon.ingress.config.names.classes.index("renew")
+        found = table.find(Facts(number, 0, False, 1, 1, False)) if table is not None else None
+        assert found is not None and found.rules.name == "b"
+
+    run(scenario())
