--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -15,13 +15,15 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 from itertools import islice
+from pathlib import Path
 from typing import Final, Protocol
 
 from loguru import logger
 
 from dockthread.clock import Clock
 from dockthread.distribution.cache import Cache
-from dockthread.distribution.messages import MOST_FRAME, Message, Rejection, Resource
+from dockthread.distribution.messages import MOST_FRAME, Heartbeat, Message, Rejection, Resource, Update
+from dockthread.distribution.options import ControlOptions
 from dockthread.distribution.stream import FrameStream
 from dockthread.distribution.subscriber import (
     Action,
@@ -101,6 +103,7 @@
         self._refused: dict[Key, Rejection] = {}  # of the batch under way
         self._connection: Connection | None = None
         self._opening: tuple[int, asyncio.Task[None]] | None = None
+        self._told = ""  # the server from which the log says that it receives
         self._alarm: asyncio.TimerHandle | None = None
         self._unsaved: list[Resource] = []
         self._closed = False
@@ -172,6 +175,9 @@
                     self._disconnect(action)
                 case Changed():
                     self._take(action)
+        if self._told and self._connection is None:
+            logger.info("control: receives no more from {}", self._told)
+            self._told = ""
         self._arm()
 
     async def _open(self, action: Connect) -> None:
@@ -206,6 +212,9 @@
 
     def heard(self, number: int, message: Message) -> None:
         if not self._closed:
+            if not self._told and isinstance(message, Update | Heartbeat):
+                self._told = self.subscriber.server
+                logger.info("control: receives from {}", self._told)
             self._do(self.subscriber.heard(self._clock.now(), number, message))
 
     def received(self, number: int) -> None:
@@ -315,3 +324,12 @@
 
 def _short(one: Rejection) -> Rejection:
     return Rejection(one.kind, one.name, one.revision, one.reason[:MOST_REASON])
+
+
+def servers_of(options: ControlOptions) -> list[Server]:
+    near = [Server(server, 0) for server in options.servers]
+    return near + [Server(server, 1) for server in options.far_servers]
+
+
+def cache_of(options: ControlOptions, name: str) -> Cache | None:
+    return Cache(Path(options.cache), name, options.cache_interval) if options.cache else None
