Measure what the list of backends costs many ingresses in a scale run

Change: `dockthread lab scale` runs real daemons under open-loop load beside hollow ingresses (watch, destination set, module, housekeeping) that share processes, a stand-in of discovery that encodes each list once, faults restart-wave, zone and cut, bounds with exit codes 0/1/2, and a checker on plain data with three planted bugs that it finds.

--- a/dockthread/cli/lab.py
+++ b/dockthread/cli/lab.py
@@ -12,6 +12,7 @@
 
 from dockthread import api
 from dockthread.cli.lab_fleet import fleet
+from dockthread.cli.lab_scale import scale
 from dockthread.lab.arrivals import Mix, read_trace, shape, weights, write_trace
 from dockthread.lab.load import Target
 from dockthread.lab.outcome import OUTCOMES, Outcome
@@ -30,6 +31,7 @@
 
 
 lab.add_command(fleet)
+lab.add_command(scale)
 
 
 def parsed(parse: Any) -> Any:
--- /dev/null
+++ b/dockthread/cli/lab_scale.py
@@ -0,0 +1,117 @@
+"""`dockthread lab scale`: many ingresses' share of control, measured on real processes. Exit codes: 0 every bound
+asked for holds; 1 one does not, or the checker found a fault; 2 the run is void, or the words are wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import os
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import click
+
+from dockthread.lab.scale.channel import ProcessError
+from dockthread.lab.scale.plan import FAULTS, Plan, PlanError, parse_changes
+from dockthread.lab.scale.plants import NAMES
+from dockthread.lab.scale.usage import Gone
+from dockthread.operator_file.quantities import Duration, Share, Size
+
+EXIT = {"holds": 0, "broken": 1, "void": 2}
+VOID = 2
+LONGEST = 600.0  # s of a window
+
+
+def quantity(parse: Callable[[str], Any]) -> Any:
+    """A click callback: nothing for what was not asked for."""
+
+    def callback(ctx: click.Context, param: click.Parameter, value: str | None) -> Any:
+        try:
+            return None if value is None else parse(value)
+        except ValueError as error:
+            raise click.BadParameter(str(error)) from error
+
+    return callback
+
+
+def most(value: float | None) -> float:
+    return math.inf if value is None else float(value)
+
+
+@click.group("scale", invoke_without_command=True)
+@click.option("--real", default=0, show_default=True, type=click.IntRange(0, 32), help="Daemons, under load.")
+@click.option("--hollow", default=200, show_default=True, type=click.IntRange(0, 4000), help="Share processes.")
+@click.option("--backends", default=240, show_default=True, type=click.IntRange(1, 60_000))
+@click.option("--services", default=15, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--changes", default="5", show_default=True, callback=quantity(parse_changes), metavar="RATE",
+              help="A second, or list=RATE,config=RATE.")  # fmt: skip
+@click.option("--seconds", default=10.0, show_default=True, type=click.FloatRange(1.0, LONGEST))
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--fault", default="none", show_default=True, type=click.Choice(FAULTS))
+@click.option("--rate", default=100.0, show_default=True, type=click.FloatRange(0, 5000),
+              help="Requests a second to each real ingress.")  # fmt: skip
+@click.option("--hosts", default=0, type=click.IntRange(0, 64), help="Processes of hollow ingresses; 0: by number.")
+@click.option("--most-lag", callback=quantity(Duration.parse), metavar="TIME", help="Until in force at the last.")
+@click.option("--most-cpu", callback=quantity(Share.parse), metavar="SHARE", help="Of a core, an ingress.")
+@click.option("--most-memory", callback=quantity(Size.parse), metavar="SIZE", help="An ingress; 1MB is 1000000 B.")
+@click.option("--most-bytes", callback=quantity(Size.parse), metavar="SIZE", help="A second, an ingress.")
+@click.option("--most-added", callback=quantity(Duration.parse), metavar="TIME", help="At p99 of real ones' answers.")
+@click.option("--most-late", default="250ms", show_default=True, callback=quantity(Duration.parse), metavar="TIME",
+              help="p99 lateness of the tool's own loops from which the run is void.")  # fmt: skip
+@click.option("--plant", default="", type=click.Choice(["", *NAMES]), help="A bug that the checker must find.")
+@click.option("--json", "as_json", is_flag=True, help="The report as one JSON object.")
+@click.option("--report", "path", type=click.Path(dir_okay=False, path_type=Path), help="Keep the report here.")
+@click.pass_context
+def scale(ctx: click.Context, /, as_json: bool, path: Path | None, **words: Any) -> None:
+    """Run real ingresses beside hollow ones, with changes of control, and measure what control costs each.
+
+    Exit codes: 0 every bound asked for holds; 1 one does not, or the checker found a fault; 2 the run is void."""
+    if ctx.invoked_subcommand is not None:
+        return
+    from dockthread.lab.scale.report import Bounds, report_of
+    from dockthread.lab.scale.run import Run
+    from dockthread.lab.scale.text import lines
+
+    most_words = {name: words.pop(f"most_{name}") for name in ("lag", "cpu", "memory", "bytes", "added", "late")}
+    bounds = Bounds(
+        most(most_words["lag"]),
+        100.0 * most(most_words["cpu"]),
+        most(most_words["memory"]),
+        most(most_words["bytes"]),
+        most(most_words["added"]),
+        most(most_words["late"]),
+    )
+    plan = plan_from(words)
+    told = {
+        "command": " ".join(["dockthread", *sys.argv[1:]]),
+        "started": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
+    }
+    try:
+        with TemporaryDirectory() as folder:
+            run = Run(plan, Path(folder))
+            asyncio.run(run.play())
+        report = report_of(run, bounds)
+    except (ProcessError, Gone, OSError) as error:
+        report = {"void": [str(error)], "verdict": "void"}
+    report = {**told, "machine": {"cores": os.cpu_count(), "load_average": os.getloadavg()}, **report}
+    if path is not None:
+        path.write_text(json.dumps(report, indent=1) + "\n")
+    if as_json:
+        click.echo(json.dumps(report))
+    else:
+        click.echo("\n".join(lines(report) if "size" in report else [f"void: {report['void'][0]}"]))
+    sys.exit(EXIT[report["verdict"]])
+
+
+def plan_from(words: dict[str, Any]) -> Plan:
+    plan = Plan(**words)
+    try:
+        plan.check()
+    except PlanError as error:
+        raise click.UsageError(str(error)) from error
+    return plan
--- /dev/null
+++ b/dockthread/lab/scale/checker.py
@@ -0,0 +1,50 @@
+"""Judges what the ingresses held against what was published. Shares no code with what it judges: plain data in.
+
+Each ingress must end with exactly what was last published, and no older version may have replaced a newer one.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+MOST_NAMED: Final = 20  # findings spelt out in a report
+MOST_SHOWN: Final = 3  # rows of one difference
+
+
+def published(changes: list[Any]) -> list[list[Any]]:
+    """What stands after all changes: uid, endpoint, whether it serves, and its weight."""
+    standing: dict[str, list[Any]] = {}
+    for _, _, entries in changes:
+        for entry in entries:
+            if entry["state"] == "left":
+                standing.pop(entry["uid"], None)
+            else:
+                row = [entry["uid"], entry["endpoint"], entry["state"] == "active", entry["capacity_hint"]]
+                standing[entry["uid"]] = row
+    return [standing[uid] for uid in sorted(standing)]
+
+
+def judge(changes: list[Any], findings: list[dict[str, Any]], expected: int) -> list[str]:
+    """Each rule that broke, in words; empty where all held. `expected`: the number of ingresses."""
+    wanted = published(changes)
+    broken, seen = [], 0
+    for found in findings:
+        for group in found["tables"]:
+            seen += len(group["ingresses"])
+            if group["rows"] != wanted:
+                broken += [f"ingress {n} {_difference(group['rows'], wanted)}" for n in group["ingresses"]]
+        for number, revisions, older in found["went_back"]:
+            if revisions:
+                broken.append(f"ingress {number} went back from revision {revisions[0]} to {revisions[1]}")
+            if older:
+                broken.append(f"ingress {number} let an older version replace a newer one {len(older)} times")
+    if seen != expected:
+        broken.append(f"{seen} of {expected} ingresses said what they hold")
+    return broken
+
+
+def _difference(rows: list[Any], wanted: list[Any]) -> str:
+    held, right = {row[0]: row for row in rows}, {row[0]: row for row in wanted}
+    wrong = sorted(uid for uid in held.keys() | right.keys() if held.get(uid) != right.get(uid))
+    shown = "; ".join(f"{uid}: holds {held.get(uid)}, wanted {right.get(uid)}" for uid in wrong[:MOST_SHOWN])
+    return f"ends with {len(wrong)} of {len(right)} backends wrong: {shown}"
--- /dev/null
+++ b/dockthread/lab/scale/discovery.py
@@ -0,0 +1,282 @@
+"""A stand-in of discovery for large lists: the whole list, then changes, each encoded once and shared by all watches.
+
+It plays the agents of all machines in one process, so its own cost is that of many. Two ports: ingresses in the part
+that a cut takes watch at the second one. While that is cut nothing goes out there, and what had been said goes at the
+heal, as TCP would have it. Every change is kept for the checker.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterator
+from typing import Any, Final
+
+import msgspec
+
+from dockthread.lab.scale.channel import Words, serve_commands
+from dockthread.lab.scale.plan import LOST_ZONE, Plan, plan_of, zone_name
+from dockthread.lab.scale.usage import Lateness, traffic
+
+HOST: Final = "127.0.0.1"
+HEAD: Final = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+BLANK: Final = b"1\r\n\n\r\n"
+SIGN_OF_LIFE: Final = 2.0  # s between empty lines while nothing changes
+STEP: Final = 1.0 / (1 << 20)  # of a backend's weight with each of its versions: exact as a float
+REMEMBERED: Final = 100_000  # changes that a watch may come back after
+TRIES: Final = 20  # numbers drawn to find a backend that is there
+FIRST_NET: Final = 1  # backends lie at 127.1.0.1 and up: one listener at all addresses serves them
+
+Entry = dict[str, Any]
+
+
+def address_of(number: int) -> str:
+    """A loopback address of its own for each backend."""
+    host = number + 1
+    return f"127.{FIRST_NET + (host >> 16)}.{host >> 8 & 255}.{host & 255}"
+
+
+def chunk(line: bytes) -> bytes:
+    return b"%x\r\n%b\n\r\n" % (len(line) + 1, line)
+
+
+class Book:
+    """The list of backends as published, its versions and its changes. No I/O."""
+
+    def __init__(self, plan: Plan, port: int) -> None:
+        self._plan, self._rng = plan, random.Random(f"{plan.seed} changes")
+        self.entries = [self._entry(n, port) for n in range(plan.backends)]
+        self._encoded = [msgspec.json.encode(one) for one in self.entries]
+        self._versions = [0] * plan.backends
+        self.revision = 1
+        self.changes: list[tuple[int, float, list[Entry]]] = []  # revision, when, entries; the whole list first
+        self._chunks: dict[int, bytes] = {}
+        self._whole = b""
+        self._absent: set[int] = set()
+        self.opened = False  # before that the list is empty
+
+    def _entry(self, number: int, port: int) -> Entry:
+        service = number % self._plan.services
+        return {
+            "uid": f"service-{service:04d}-{number:05d}",
+            "endpoint": f"{address_of(number)}:{port}",
+            "az": zone_name(number // self._plan.services + number),
+            "model": "type-a",
+            "pod_group": service,
+            "state": "active",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
+
+    def open(self) -> bytes:
+        """Publish the whole list."""
+        self.opened, self.revision, self._whole = True, self.revision + 1, b""
+        self.changes.append((self.revision, time.monotonic(), [dict(one) for one in self.entries]))
+        return self.whole()
+
+    def whole(self) -> bytes:
+        """The whole list as it stands, encoded once for each revision."""
+        if not self._whole:
+            held = [one for n, one in enumerate(self._encoded) if n not in self._absent] if self.opened else []
+            self._whole = chunk(b'{"rev":%d,"all":true,"targets":[%b]}' % (self.revision, b",".join(held)))
+        return self._whole
+
+    def since(self, revision: int) -> list[bytes] | None:
+        """The changes after a revision, in order; None where not all of them are remembered."""
+        wanted = range(revision + 1, self.revision + 1)
+        if not all(number in self._chunks for number in wanted):
+            return None
+        return [self._chunks[number] for number in wanted]
+
+    def change(self, number: int, **fields: Any) -> bytes:
+        """A new version of one backend."""
+        self._versions[number] += 1
+        entry = {**self.entries[number], "capacity_hint": 1.0 + self._versions[number] * STEP, **fields}
+        self.entries[number], self._encoded[number] = entry, msgspec.json.encode(entry)
+        (self._absent.add if entry["state"] == "left" else self._absent.discard)(number)
+        self.revision, self._whole = self.revision + 1, b""
+        self.changes.append((self.revision, time.monotonic(), [entry]))
+        said = chunk(b'{"rev":%d,"all":false,"targets":[%b]}' % (self.revision, self._encoded[number]))
+        self._chunks[self.revision] = said
+        self._chunks.pop(self.revision - REMEMBERED, None)
+        return said
+
+    def drawn(self) -> bytes:
+        """A change as a day brings it: a backend starts to leave, comes back new, or has another weight."""
+        number = self._rng.choice([n for n in self._some() if n not in self._absent] or [0])
+        if self.entries[number]["state"] != "active":
+            return self.change(number, state="active", boot_ms=round(time.time() * 1000))
+        if self._rng.random() < 0.5:
+            return self.change(number, state="leaving")
+        return self.change(number)
+
+    def _some(self) -> list[int]:
+        return [self._rng.randrange(self._plan.backends) for _ in range(TRIES)]
+
+    def zone_leaves(self) -> Iterator[bytes]:
+        """Every backend of one zone is gone, one change each."""
+        for number in self._of_zone():
+            yield self.change(number, state="left")
+
+    def zone_returns(self) -> Iterator[bytes]:
+        for number in self._of_zone():
+            yield self.change(number, state="active", boot_ms=round(time.time() * 1000))
+
+    def _of_zone(self) -> list[int]:
+        return [n for n, one in enumerate(self.entries) if one["az"] == zone_name(LOST_ZONE)]
+
+
+class Watched(asyncio.Protocol):
+    """One watch."""
+
+    def __init__(self, serving: Discovery, cuttable: bool) -> None:
+        self._serving, self._cuttable, self._head = serving, cuttable, b""
+        self.transport: asyncio.Transport | None = None
+        self._held: list[bytes] = []  # while it is cut
+        self.stands = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]  # uvloop has a class of its own
+
+    def data_received(self, data: bytes) -> None:
+        self._head += data
+        if not self.stands and b"\r\n\r\n" in self._head:
+            self.stands = True
+            _, _, after = self._head.split(b" ", 2)[1].partition(b"after=")
+            self._serving.begun(self, int(after or 0))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self._serving.watches.discard(self)
+
+    def say(self, data: bytes) -> None:
+        if self._cuttable and self._serving.cut:
+            self._held.append(data)
+        elif self.transport is not None and not self.transport.is_closing():
+            self._serving.messages += 1
+            self.transport.write(data)
+
+    def heal(self) -> None:
+        held, self._held = self._held, []
+        for data in held:
+            self.say(data)
+
+
+class Discovery:
+    """All watches and the book that they are told from."""
+
+    def __init__(self) -> None:
+        self.watches: set[Watched] = set()
+        self.cut, self.messages = False, 0
+        self.book: Book | None = None
+        self._ports: list[int] = []
+        self._lateness = Lateness()
+        self._late_starts: list[float] = []  # ms, of the publications
+        self._tasks: list[asyncio.Task[None]] = []
+        self._plan: Plan | None = None
+        self._publishing: asyncio.Task[None] | None = None
+
+    async def begin(self, told: Words) -> Words:
+        self._plan = plan_of(told["plan"])
+        self.book = Book(self._plan, told["backend_port"])
+        loop = asyncio.get_running_loop()
+        for cuttable in (False, True):
+            server = await loop.create_server(self._factory(cuttable), HOST, 0, backlog=4096)
+            self._ports.append(server.sockets[0].getsockname()[1])
+        self._tasks = [loop.create_task(self._blank()), loop.create_task(self._lateness.watch())]
+        return {"ports": self._ports}
+
+    def _factory(self, cuttable: bool) -> Callable[[], Watched]:
+        return lambda: Watched(self, cuttable)
+
+    def begun(self, watch: Watched, after: int) -> None:
+        assert self.book is not None, "a watch comes only once there is a port"
+        self.watches.add(watch)
+        changes = self.book.since(after) if after else None
+        watch.say(HEAD)
+        for data in [self.book.whole()] if changes is None else changes:
+            watch.say(data)
+
+    async def _blank(self) -> None:
+        while True:
+            await asyncio.sleep(SIGN_OF_LIFE)
+            self._push(BLANK)
+
+    def _push(self, data: bytes) -> None:
+        for watch in self.watches:
+            watch.say(data)
+
+    # Commands
+
+    async def open(self, told: Words) -> Words:
+        assert self.book is not None
+        self._push(self.book.open())
+        return {"revision": self.book.revision}
+
+    async def publish(self, told: Words) -> Words:
+        """Begin so many seconds of changes at a rate, evenly spaced, whatever the watches make of them."""
+        loop = asyncio.get_running_loop()
+        self._publishing = loop.create_task(self._publish(float(told["rate"]), float(told["seconds"])))
+        return {}
+
+    async def published(self, told: Words) -> Words:
+        """Wait for the end of what `publish` began."""
+        assert self.book is not None
+        if self._publishing is not None:
+            await self._publishing
+        return {"revision": self.book.revision}
+
+    async def _publish(self, rate: float, seconds: float) -> None:
+        assert self.book is not None
+        begun = time.monotonic()
+        for number in range(int(rate * seconds)):
+            due = begun + number / rate
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            self._late_starts.append((time.monotonic() - due) * 1000.0)
+            self._push(self.book.drawn())
+
+    async def fault(self, told: Words) -> Words:
+        """`begin` or `end` the fault that is discovery's part."""
+        assert self.book is not None and self._plan is not None
+        begin = bool(told["begin"])
+        if self._plan.fault == "zone":
+            for said in self.book.zone_leaves() if begin else self.book.zone_returns():
+                self._push(said)
+        elif self._plan.fault == "cut":
+            self.cut = begin
+            for watch in [] if begin else list(self.watches):
+                watch.heal()
+        return {"revision": self.book.revision, "at": time.monotonic()}
+
+    async def state(self, told: Words) -> Words:
+        assert self.book is not None
+        return {
+            "watches": len(self.watches),
+            "revision": self.book.revision,
+            "messages": self.messages,
+            "traffic": traffic(self._ports, local=True),
+            "late": self._lateness.taken(),
+        }
+
+    async def log(self, told: Words) -> Words:
+        """All that was published, for the checker."""
+        assert self.book is not None
+        return {
+            "changes": self.book.changes,
+            "late_starts": sorted(self._late_starts),
+        }
+
+
+async def play() -> None:
+    discovery = Discovery()
+    await serve_commands(
+        {
+            "begin": discovery.begin,
+            "open": discovery.open,
+            "publish": discovery.publish,
+            "published": discovery.published,
+            "fault": discovery.fault,
+            "state": discovery.state,
+            "log": discovery.log,
+        }
+    )
--- /dev/null
+++ b/dockthread/lab/scale/report.py
@@ -0,0 +1,226 @@
+"""What a run measured, as one JSON object and as lines for a person; and what it says of the bounds asked for."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any, Final
+
+from dockthread.lab.outcome import Outcome, histogram
+from dockthread.lab.scale.checker import MOST_NAMED, judge
+from dockthread.lab.scale.plan import REGIONS, ZONES
+from dockthread.lab.scale.run import Run, Window
+from dockthread.lab.scale.usage import MEGABYTE, share
+
+VERSION: Final = 1
+LEAST_CHANGES: Final = 10  # in force and measured, for a figure of lag
+LEAST_REQUESTS: Final = 1000  # in each window, for a figure of latency
+MOST_SHARE: Final = 90.0  # percent of a core: a process of the tool that uses more has no time left to be on time
+HOLDS, BROKEN, VOID = "holds", "broken", "void"
+METHOD: Final = (
+    "CPU and RSS from /proc, bytes from TCP_INFO (payload), times on the machine's monotonic clock. A hollow"
+    " ingress's cost: that of its processes, less as many empty ones (the baseline), divided by the number hosted."
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Most of each figure; infinite where it was not asked for. ms, percent of a core, bytes, bytes/s."""
+
+    lag: float = math.inf
+    cpu: float = math.inf
+    memory: float = math.inf
+    traffic: float = math.inf
+    added: float = math.inf
+    late: float = 250.0
+
+
+def quantile(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else math.nan
+
+
+def summary_of(found: list[float]) -> dict[str, float]:
+    ordered = sorted(found)
+    if not ordered:
+        return {}
+    marks = {"p50": 0.5, "p99": 0.99, "last": 1.0}
+    return {name: round(quantile(ordered, part), 1) for name, part in marks.items()}
+
+
+def lags(run: Run) -> dict[str, Any]:
+    """For each change of the list, ms until it was in force at the last ingress; those in a fault are apart."""
+    count: dict[int, int] = {}
+    last: dict[int, float] = {}
+    for found in [*run.findings, *run.ended]:
+        for number, many, at in found["in_force"]:
+            count[int(number)] = count.get(int(number), 0) + int(many)
+            last[int(number)] = max(last.get(int(number), 0.0), at)
+    begun, ended = run.fault.get("begun", math.inf), run.fault.get("ended", -math.inf)
+    plain, within, never, whole = [], [], 0, math.nan
+    for number, at, _ in run.log["changes"]:
+        if count.get(number, 0) < run.plan.ingresses:
+            never += 1
+        elif number == run.opened:
+            whole = round(last[number] - at, 3)
+        elif begun <= at and run.fault.get("revision", 0) >= number:
+            within.append((last[number] - at) * 1000.0)
+        else:
+            plain.append((last[number] - at) * 1000.0)
+    informed = max(found["informed_at"] for found in run.findings)
+    found_again = max(informed, last.get(run.fault.get("revision", -1), math.nan)) - ended
+    return {
+        "changes": len(plain) + len(within) + never,
+        "never": never,
+        "lag_ms": summary_of(plain),
+        "lag_in_fault_ms": summary_of(within),
+        "whole_list_s": whole,
+        "recovery_s": round(max(0.0, found_again), 3) if run.fault and not math.isnan(found_again) else None,
+        "samples": len(plain),
+    }
+
+
+def cost(window: Window, role: str) -> list[float]:
+    """CPU in percent of a core, of each process of a role."""
+    return [share(before, after) for before, after in window.usage.get(role, [])]
+
+
+def rates(window: Window, role: str) -> dict[str, float]:
+    """Bytes and messages a second over a role's processes together, and its connections."""
+    seconds = [after.at - before.at for before, after in window.usage.get(role, [])]
+    found = {"bytes_in_s": 0.0, "bytes_out_s": 0.0, "messages_s": 0.0, "connections": 0.0}
+    for length, (before, after) in zip(seconds, window.states.get(role, []), strict=True):
+        old, new = before["traffic"], after["traffic"]
+        found["bytes_in_s"] += max(0, new["in"] - old["in"]) / length
+        found["bytes_out_s"] += max(0, new["out"] - old["out"]) / length
+        found["messages_s"] += max(0, after.get("messages", 0) - before.get("messages", 0)) / length
+        found["connections"] += new["connections"]
+    return found
+
+
+def role_figures(run: Run, role: str) -> dict[str, Any]:
+    """Of all processes of a role together."""
+    resident = run.resident.get(role, [])
+    return {
+        "processes": len(resident),
+        "cpu_quiet_percent": round(sum(cost(run.quiet, role)), 3),
+        "cpu_percent": round(sum(cost(run.busy, role)), 3),
+        "rss_before_list_mb": round(sum(before for before, _ in resident) / MEGABYTE, 2),
+        "rss_mb": round(sum(after for _, after in resident) / MEGABYTE, 2),
+        **{name: round(value, 1) for name, value in rates(run.busy, role).items()},
+    }
+
+
+def each(run: Run, figures: dict[str, dict[str, Any]]) -> dict[str, dict[str, float]]:
+    """Of one ingress: hollow, less the baseline; real, as it is, load and all."""
+    found: dict[str, dict[str, float]] = {}
+    base, host, real = figures["baseline"], figures["host"], figures["real"]
+    if run.plan.hollow:
+        many, processes = run.plan.hollow, host["processes"]
+        found["hollow"] = {
+            name: round((host[name] - processes * base[name]) / many, 4)
+            for name in ("cpu_quiet_percent", "cpu_percent", "rss_mb")
+        }
+        found["hollow"] |= {name: round(host[name] / many, 2) for name in ("bytes_in_s", "bytes_out_s", "messages_s")}
+    if run.plan.real:
+        found["real"] = {name: round(real[name] / run.plan.real, 3) for name in real if name != "processes"}
+    return found
+
+
+def latency(run: Run) -> dict[str, Any]:
+    """Of the real ingresses' answers in both windows, and what p99 has grown by."""
+    found: dict[str, Any] = {}
+    for window in (run.quiet, run.busy):
+        if window.load is None:
+            return {}
+        outcome, times = Outcome(), histogram()
+        outcome.add(window.load)
+        for one in outcome.times.values():
+            times.add(one)
+        marks = {"p50_ms": 50.0, "p99_ms": 99.0, "max_ms": 100.0}
+        found[window.name] = {
+            name: round(times.get_value_at_percentile(at) / 1000.0, 3) for name, at in marks.items()
+        }
+        found[window.name] |= {"requests": outcome.asked, "served": outcome.total("served"), "void": outcome.void}
+    found["added_p99_ms"] = round(found["busy"]["p99_ms"] - found["quiet"]["p99_ms"], 3)
+    return found
+
+
+def voids(run: Run, report: dict[str, Any], bounds: Bounds) -> list[str]:
+    """Why the run says nothing of the program."""
+    why = []
+    for role, states in run.busy.states.items():
+        if (late := max(after["late"]["p99"] for _, after in states)) > bounds.late:
+            why.append(
+                f"the tool fell behind: a process of {role} ran one timer in a hundred {late:g} ms late or more"
+            )
+    why += [
+        f"the tool fell behind: a process of {role} used {most:.0f}% of a core"
+        for role in ("host", "discovery", "backends")
+        if (most := max(cost(run.busy, role), default=0.0)) > MOST_SHARE
+    ]
+    if (late := quantile(run.log["late_starts"], 0.99)) > bounds.late:
+        why.append(f"the tool fell behind: one change in a hundred was published {late:.0f} ms late or more")
+    listed = report["list"]
+    few = listed["samples"] < LEAST_CHANGES and not listed["never"]
+    if run.plan.changes.list_rate and math.isfinite(bounds.lag) and few:
+        why.append(f"too few samples: {listed['samples']} changes of the list")
+    if math.isfinite(bounds.added):
+        why += _latency_voids(report["latency"])
+    return why
+
+
+def _latency_voids(found: dict[str, Any]) -> list[str]:
+    if not found:
+        return ["too few samples: added latency needs a real ingress under load"]
+    why = [f"latency, {name} window: {found[name]['void']}" for name in ("quiet", "busy") if found[name]["void"]]
+    few = min(found[name]["requests"] for name in ("quiet", "busy"))
+    return why + ([f"too few samples: {few} requests in a window"] if few < LEAST_REQUESTS else [])
+
+
+def judged(report: dict[str, Any], bounds: Bounds) -> list[dict[str, Any]]:
+    """Each bound that was asked for, with what was measured."""
+    one = report["each"].get("hollow") or report["each"]["real"]
+    listed = report["list"]
+    measured = {
+        "lag_ms": (bounds.lag, listed["lag_ms"].get("last", 0.0)),
+        "recovery_ms": (bounds.lag, (listed["recovery_s"] or 0.0) * 1000.0),
+        "never": (0.0 if math.isfinite(bounds.lag) else math.inf, float(listed["never"])),
+        "cpu_percent": (bounds.cpu, one["cpu_percent"]),
+        "memory_mb": (bounds.memory / MEGABYTE, one["rss_mb"]),
+        "bytes_s": (bounds.traffic, one["bytes_in_s"] + one["bytes_out_s"]),
+        "added_p99_ms": (bounds.added, report["latency"].get("added_p99_ms", 0.0)),
+    }
+    return [
+        {"name": name, "most": most, "measured": round(value, 3), "holds": value <= most}
+        for name, (most, value) in measured.items()
+        if math.isfinite(most)
+    ]
+
+
+def report_of(run: Run, bounds: Bounds) -> dict[str, Any]:
+    """All figures of a run that came to its end."""
+    plan, figures = run.plan, {}
+    for role in ("discovery", "backends", "baseline", "host", "real"):
+        figures[role] = role_figures(run, role)
+    report: dict[str, Any] = {
+        "version": VERSION,
+        "method": METHOD,
+        "size": {
+            "ingresses": plan.ingresses, "real": plan.real, "hollow": plan.hollow, "backends": plan.backends,
+            "services": plan.services, "zones": ZONES, "regions": REGIONS,
+            "list_changes_s": plan.changes.list_rate, "configuration_changes_s": plan.changes.configuration_rate,
+        },
+        "seconds": plan.seconds, "seed": plan.seed, "fault": plan.fault, "plant": plan.plant,
+        "roles": figures,
+        "each": each(run, figures),
+        "list": lags(run),
+        "latency": latency(run),
+        "late_ms": {role: max(s["late"]["p99"] for _, s in states) for role, states in run.busy.states.items()},
+    }  # fmt: skip
+    broken = judge(run.log["changes"], run.findings, plan.ingresses)
+    report["checker"] = {"broken": len(broken), "first": broken[:MOST_NAMED]}
+    report["bounds"] = judged(report, bounds)
+    report["void"] = voids(run, report, bounds)
+    held = not broken and all(one["holds"] for one in report["bounds"])
+    report["verdict"] = BROKEN if broken else VOID if report["void"] else HOLDS if held else BROKEN
+    return report
--- /dev/null
+++ b/dockthread/lab/scale/role.py
@@ -0,0 +1,30 @@
+"""`python -m dockthread.lab.scale.role ROLE`: one process of a scale run, told what to do on standard input."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from importlib import import_module
+from typing import Final
+
+import uvloop
+from loguru import logger
+
+ROLES: Final = ("discovery", "host", "real", "backends", "load")
+SELDOM: Final = 20_000  # allocations between collections, as in the daemon
+
+
+def main(role: str) -> None:
+    if role not in ROLES:
+        raise SystemExit(f"{role!r} is none of {', '.join(ROLES)}")
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING")
+    gc.set_threshold(SELDOM)
+    played = import_module(f"dockthread.lab.scale.{role}")
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(played.play())
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/dockthread/lab/scale/run.py
@@ -0,0 +1,209 @@
+"""Plays one scale run: starts the processes, measures a quiet and a busy window, plays the fault, ends all by id."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, Final
+
+from dockthread.lab.scale.channel import Child, ProcessError, Words
+from dockthread.lab.scale.plan import Plan, settings
+from dockthread.lab.scale.usage import Usage, read_usage
+
+STARTED_WITHIN: Final = 60.0  # s, for all watches to stand
+LISTED_WITHIN: Final = 60.0  # s, for the whole list to be in force everywhere
+SETTLED_WITHIN: Final = 45.0  # s after the last change, for it to be in force everywhere
+LOOKS: Final = 0.1  # s between looks whether something has come about
+SETTLES: Final = 0.5  # s before a window is measured
+QUIET_PART: Final = 0.5  # of the run's seconds: the window with control idle
+FAULT_BEGINS, FAULT_ENDS = 0.25, 0.6  # parts of the busy window
+
+
+class Window:
+    """Readings of every process at the begin and the end of a stretch of time."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.usage: dict[str, list[tuple[Usage, Usage]]] = {}
+        self.states: dict[str, list[tuple[Words, Words]]] = {}
+        self.load: Words | None = None
+        self._before: dict[Child, tuple[Usage, Words]] = {}
+
+    async def begin(self, children: list[Child]) -> None:
+        states = await asyncio.gather(*(child.ask("state") for child in children))
+        self._before = {child: (read_usage(child.pid), state) for child, state in zip(children, states, strict=True)}
+
+    async def end(self) -> None:
+        """Processes that the fault has ended meanwhile are left out."""
+        read = {child: read_usage(child.pid) for child in self._before if child.running}
+        for child, after in read.items():
+            usage, state = self._before[child]
+            self.usage.setdefault(child.shown, []).append((usage, after))
+            self.states.setdefault(child.shown, []).append((state, await child.ask("state")))
+
+
+class Run:
+    """`folder`: for configurations and logs."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self._folder = plan, folder
+        self.discovery, self.backends = Child("discovery"), Child("backends")
+        self.baseline = Child("host", shown="baseline")
+        self.hosts: list[Child] = []
+        self.reals: dict[int, Child] = {}
+        self.load: Child | None = None
+        self._ports: list[int] = []
+        self._client_ports: dict[int, int] = {}
+        self.resident: dict[str, list[tuple[int, int]]] = {}  # bytes by role: before the list, with it
+        self.fault: Words = {}
+        self.ended: list[Words] = []  # findings of real ingresses in lives before their last
+        self.quiet, self.busy = Window("quiet"), Window("busy")
+        self.opened = 0  # the revision of the whole list
+        self.settled = False  # all was in force in time
+
+    @property
+    def children(self) -> list[Child]:
+        return [self.discovery, self.backends, self.baseline, *self.hosts, *self.reals.values()]
+
+    async def play(self) -> None:
+        """Raises ProcessError where the run is void; nothing of it is running afterwards."""
+        try:
+            await self._start()
+            await self._open()
+            await self._window(self.quiet, self.plan.seconds * QUIET_PART, changes=False)
+            await self._window(self.busy, self.plan.seconds, changes=True)
+            await self._judged()
+        finally:
+            everyone = [*self.children, *([self.load] if self.load else [])]
+            await asyncio.gather(*(child.end() for child in everyone))
+
+    # Start
+
+    async def _start(self) -> None:
+        plan = self.plan.told()
+        backend_port = (await self.backends.start({}, self._log("backends")))["port"]
+        told = {"plan": plan, "backend_port": backend_port}
+        self._ports = (await self.discovery.start(told, self._log("discovery")))["ports"]
+        common = {"plan": plan, "discovery": self._ports}
+        starting = [self.baseline.start({**common, "numbers": [], "plants": False}, self._log("baseline"))]
+        for number, share in enumerate(self.plan.shares()):
+            self.hosts.append(Child("host", number))
+            told = {**common, "numbers": share, "plants": number == 0 and bool(self.plan.plant)}
+            starting.append(self.hosts[-1].start(told, self._log(f"host-{number}")))
+        if self.plan.real and self.plan.rate:
+            self.load = Child("load")
+            starting.append(self.load.start({"seed": self.plan.seed, "rate": self.plan.rate}, self._log("load")))
+        await asyncio.gather(*starting, *(self._start_real(number, 0) for number in range(self.plan.real)))
+        await self._until(self._watched, STARTED_WITHIN, "not all watches stood")
+
+    async def _start_real(self, number: int, reached: int) -> None:
+        config = self._folder / f"real-{number}.json"
+        words = {**settings(self.plan.ingresses), "MyNumber": number}
+        raw = {
+            "name": f"n{number}",
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{self._ports[self.plan.in_cut(number)]}",
+            "seed": f"{number + 1:x}",
+            "limits": {"sockets": 4096},
+            "settings": words,
+        }
+        config.write_text(json.dumps(raw))
+        child = self.reals[number] = Child("real", number)
+        told = {"config": str(config), "number": number, "reached": reached, "discovery": self._ports}
+        self._client_ports[number] = (await child.start(told, self._log(f"real-{number}")))["port"]
+
+    async def _watched(self) -> bool:
+        return int((await self.discovery.ask("state"))["watches"]) >= self.plan.ingresses
+
+    async def _open(self) -> None:
+        await asyncio.sleep(SETTLES)
+        before = {child: read_usage(child.pid).rss for child in self.children}
+        self.opened = (await self.discovery.ask("open"))["revision"]
+        await self._until(
+            lambda: self._reached(self.opened), LISTED_WITHIN, "the whole list was not in force everywhere"
+        )
+        await asyncio.sleep(SETTLES)
+        for child, rss in before.items():
+            self.resident.setdefault(child.shown, []).append((rss, read_usage(child.pid).rss))
+
+    # The windows
+
+    async def _window(self, window: Window, seconds: float, changes: bool) -> None:
+        await window.begin(self.children)
+        sending = asyncio.create_task(self._send(seconds))
+        try:
+            if changes:
+                await self._change(seconds)
+            else:
+                await asyncio.sleep(seconds)
+            await window.end()
+            window.load = await sending
+        finally:
+            sending.cancel()
+            with suppress(asyncio.CancelledError, ProcessError):
+                await sending
+
+    async def _send(self, seconds: float) -> Words | None:
+        ports = [port for number, port in self._client_ports.items() if not self.plan.restarted(number)]
+        if self.load is None or not ports:
+            return None
+        return await self.load.ask("send", within=seconds + 30.0, seconds=seconds, ports=ports)
+
+    async def _change(self, seconds: float) -> None:
+        begun = time.monotonic()
+        if rate := self.plan.changes.list_rate:
+            await self.discovery.ask("publish", rate=rate, seconds=seconds)
+        if self.plan.fault != "none":
+            await asyncio.sleep(max(0.0, begun + FAULT_BEGINS * seconds - time.monotonic()))
+            self.fault["begun"] = time.monotonic()
+            await self._begin_fault()
+            if self.plan.fault != "restart-wave":
+                await asyncio.sleep(max(0.0, begun + FAULT_ENDS * seconds - time.monotonic()))
+            await self._end_fault()
+        await asyncio.sleep(max(0.0, begun + seconds - time.monotonic()))
+        await self.discovery.ask("published")
+
+    async def _begin_fault(self) -> None:
+        await self.discovery.ask("fault", begin=True)
+        if self.plan.fault != "cut":
+            await asyncio.gather(*(host.ask("stop") for host in self.hosts))
+            for number, child in self.reals.items():
+                if self.plan.restarted(number):
+                    self.ended.append(await child.ask("findings"))
+                    await child.end()
+
+    async def _end_fault(self) -> None:
+        self.fault["ended"] = time.monotonic()
+        self.fault["revision"] = (await self.discovery.ask("fault", begin=False))["revision"]
+        if self.plan.fault != "cut":
+            await asyncio.gather(*(host.ask("start") for host in self.hosts))
+            lives = {found["number"]: found["reached"] for found in self.ended}
+            await asyncio.gather(*(self._start_real(number, reached) for number, reached in lives.items()))
+
+    # The end
+
+    async def _judged(self) -> None:
+        final = int((await self.discovery.ask("state"))["revision"])
+        with suppress(ProcessError):
+            await self._until(lambda: self._reached(final), SETTLED_WITHIN, "not all changes were in force")
+            self.settled = True
+        asked = [*self.hosts, *self.reals.values()]
+        self.findings = list(await asyncio.gather(*(child.ask("findings") for child in asked)))
+        self.log = await self.discovery.ask("log")
+
+    async def _reached(self, revision: int) -> bool:
+        states = await asyncio.gather(*(child.ask("state") for child in [*self.hosts, *self.reals.values()]))
+        return all(state["lowest"] >= revision for state in states)
+
+    async def _until(self, condition: Any, within: float, otherwise: str) -> None:
+        due = time.monotonic() + within
+        while not await condition():
+            if time.monotonic() > due:
+                raise ProcessError(f"{otherwise} within {within:g} s")
+            await asyncio.sleep(LOOKS)
+
+    def _log(self, name: str) -> Path:
+        return self._folder / f"{name}.log"
--- /dev/null
+++ b/dockthread/lab/scale/usage.py
@@ -0,0 +1,104 @@
+"""What processes and connections use, by the kernel's accounting: /proc and TCP_INFO."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+TCP_INFO: Final = 11  # of the options of IPPROTO_TCP
+BYTES_AT: Final = 120  # offset of tcpi_bytes_acked in struct tcp_info; tcpi_bytes_received follows
+INFO_SIZE: Final = 192
+BEAT: Final = 0.05  # s between looks at a loop's lateness
+MEGABYTE: Final = 1 << 20
+
+
+class Gone(Exception):
+    """The process has ended."""
+
+
+def cpu_seconds(pid: int) -> float:
+    """CPU that a process's threads have used, by the scheduler's account. Raises Gone."""
+    try:
+        tasks = list(Path(f"/proc/{pid}/task").iterdir())
+        return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e9
+    except OSError as error:
+        raise Gone(f"process {pid} has ended") from error
+
+
+def resident(pid: int) -> int:
+    """Bytes. Raises Gone."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except OSError as error:
+        raise Gone(f"process {pid} has ended") from error
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """One reading of one process."""
+
+    at: float  # s, on the system's monotonic clock
+    cpu: float  # s
+    rss: int  # bytes
+
+
+def read_usage(pid: int) -> Usage:
+    return Usage(time.monotonic(), cpu_seconds(pid), resident(pid))
+
+
+def share(before: Usage, after: Usage) -> float:
+    """CPU in percent of a core between two readings."""
+    return 100.0 * (after.cpu - before.cpu) / max(1e-9, after.at - before.at)
+
+
+def traffic(ports: Iterable[int], local: bool) -> dict[str, Any]:
+    """Bytes on this process's own TCP connections from or to these ports, and how many connections there are.
+
+    `local`: the ports are this process's, else the other ends'. Counted by the kernel, payload only."""
+    wanted, found = set(ports), {"connections": 0, "in": 0, "out": 0}
+    for name in os.listdir("/proc/self/fd"):
+        try:
+            if not os.readlink(f"/proc/self/fd/{name}").startswith("socket:"):
+                continue
+            with socket.socket(fileno=os.dup(int(name))) as one:
+                if one.family != socket.AF_INET or one.type != socket.SOCK_STREAM:
+                    continue
+                address = one.getsockname() if local else one.getpeername()
+                if address[1] not in wanted or (local and one.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+                    continue
+                info = one.getsockopt(socket.IPPROTO_TCP, TCP_INFO, INFO_SIZE)
+        except OSError:  # closed meanwhile, or connected to nobody
+            continue
+        acknowledged, received = struct.unpack_from("=QQ", info, BYTES_AT)
+        found["connections"] += 1
+        found["out"] += acknowledged
+        found["in"] += received
+    return found
+
+
+class Lateness:
+    """How late a loop runs its timers, in ms: where it is, the tool itself falls behind."""
+
+    def __init__(self) -> None:
+        self._found: list[float] = []
+
+    async def watch(self) -> None:
+        while True:
+            due = time.monotonic() + BEAT
+            await asyncio.sleep(BEAT)
+            self._found.append((time.monotonic() - due) * 1000.0)
+
+    def taken(self) -> dict[str, float]:
+        """What was seen since the last call."""
+        ordered, self._found = sorted(self._found), []
+        if not ordered:
+            return {"count": 0, "p99": 0.0, "max": 0.0}
+        at = min(len(ordered) - 1, int(0.99 * len(ordered)))
+        return {"count": len(ordered), "p99": round(ordered[at], 1), "max": round(ordered[-1], 1)}
--- /dev/null
+++ b/dockthread/lab/scale/witness.py
@@ -0,0 +1,99 @@
+"""What became of control at the ingresses of one process: when each change was in force, and whether any went back.
+
+Reads the module's own memory after it was told; takes nothing from the code that told it.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from dockthread.module import api
+from dockthread.module.rules import Gateway
+from dockthread.net.destination_set import DestinationSet
+
+Row = list[Any]  # uid, endpoint, whether it may be sent to, weight
+
+
+class InForce:
+    """Over the ingresses of one process, by revision: at how many it is in force, and since when at the last."""
+
+    def __init__(self) -> None:
+        self.count: dict[int, int] = {}
+        self.last: dict[int, float] = {}
+
+    def reached(self, before: int, revision: int) -> None:
+        """An ingress that had all up to `before` now has all up to `revision`."""
+        now = time.monotonic()
+        for number in range(before + 1, revision + 1):
+            self.count[number] = self.count.get(number, 0) + 1
+            self.last[number] = now
+
+    def told(self) -> list[list[float]]:
+        return [[number, many, self.last[number]] for number, many in sorted(self.count.items())]
+
+
+class Witness:
+    """Of one ingress over all its lives."""
+
+    def __init__(self, number: int, in_force: InForce, reached: int = 0) -> None:
+        self.number, self._in_force = number, in_force
+        self.reached, self.messages = reached, 0
+        self.revisions: list[int] = []  # that went back: [newer, older, ...]
+        self._held: dict[int, float] = {}  # weights by worker, since the present life began
+        self.older: list[list[Any]] = []  # versions of a backend that replaced newer ones
+        self._revision = 0
+        self._informed = True  # the present life has a list, or is the first
+        self.informed_at = 0.0  # when the last life after the first had its list
+
+    def new_life(self, first: bool) -> None:
+        """It starts with an empty memory."""
+        self._held, self._revision, self._informed = {}, 0, first
+
+    def heard(self, revision: int, gateway: Gateway, listed: api.WorkersListed | None = None) -> None:
+        """The module has been told a list, or changes, up to this revision; `listed` where they are at hand."""
+        self.messages += 1
+        if not self._informed:
+            self._informed, self.informed_at = True, time.monotonic()
+        if revision < self._revision:
+            self.revisions += [self._revision, revision]
+        self._revision = revision
+        if listed is not None and listed.kind is api.ListKind.CHANGES:
+            for entry in listed.entries:
+                self._compare(entry.worker, gateway)
+        if revision > self.reached:
+            self._in_force.reached(self.reached, revision)
+            self.reached = revision
+
+    def _compare(self, worker: int, gateway: Gateway) -> None:
+        weight = gateway.workers[worker].entry.weight if worker in gateway.workers else 0.0
+        before = self._held.get(worker, 0.0)
+        if weight < before:
+            self.older.append([worker, before, weight])
+        self._held[worker] = weight
+
+
+def table(gateway: Gateway, destinations: DestinationSet) -> list[Row]:
+    """What the module holds of the backends that are not gone, in the order of their uids."""
+    return sorted(
+        [known.uid, str(known.endpoint), held.ready, held.entry.weight]
+        for worker, held in gateway.workers.items()
+        if held.entry.state is not api.WorkerState.GONE
+        and held.gone == float("inf")
+        and (known := destinations.by_worker.get(worker)) is not None
+    )
+
+
+def findings(witnesses: list[Witness], tables: dict[int, list[Row]], in_force: InForce) -> dict[str, Any]:
+    """For the tool: tables that several ingresses share are said once."""
+    shared: dict[str, dict[str, Any]] = {}
+    for number, rows in tables.items():
+        key = repr(rows)
+        shared.setdefault(key, {"rows": rows, "ingresses": []})["ingresses"].append(number)
+    return {
+        "in_force": in_force.told(),
+        "tables": list(shared.values()),
+        "messages": sum(one.messages for one in witnesses),
+        "informed_at": max((one.informed_at for one in witnesses), default=0.0),
+        "went_back": [[one.number, one.revisions, one.older] for one in witnesses if one.revisions or one.older],
+    }
--- /dev/null
+++ b/tests/test_lab_scale.py
@@ -0,0 +1,117 @@
+"""The scale run: small runs with a fault, bounds that break, planted bugs, and the checker on its own."""
+
+from __future__ import annotations
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+from dockthread.lab.scale.checker import judge, published
+from dockthread.lab.scale.discovery import Book, address_of
+from dockthread.lab.scale.plan import Changes, Plan, PlanError, parse_changes, plan_of
+from dockthread.lab.scale.plants import NAMES
+from tests.test_cli import dockthread
+
+# The machine of a test may be busy: what is measured is not judged here, only what ends up in force.
+PATIENT = ("--most-late", "30s", "--most-lag", "60s")
+SMALL = Plan(0, 4, 30, 3, Changes(5.0, 0.0), 2.0)
+
+
+def scale(*words: str) -> tuple[int, dict[str, Any]]:
+    done = dockthread("lab", "scale", *PATIENT, "--json", *words)
+    assert done.stdout, done.stderr
+    return done.returncode, json.loads(done.stdout)
+
+
+Played = dict[str, tuple[int, dict[str, Any]]]
+TINY = ("--hollow", "8", "--seconds", "1")
+RUNS = {
+    "wave": ("--real", "2", "--hollow", "200", "--seconds", "3", "--backends", "60", "--changes", "list=10",
+             "--fault", "restart-wave"),
+    "bytes": (*TINY, "--changes", "list=12", "--most-bytes", "1B"),
+    "few": (*TINY, "--changes", "list=2"),
+    **{plant: (*TINY, "--changes", "list=12", "--plant", plant) for plant in NAMES},
+}  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory: pytest.TempPathFactory) -> Played:
+    """All runs, side by side: exit code and report of each; the reports are kept as files too."""
+    folder = tmp_path_factory.mktemp("reports")
+    with ThreadPoolExecutor(3) as pool:
+        words = [(*run, "--report", str(folder / name)) for name, run in RUNS.items()]
+        found = dict(zip(RUNS, pool.map(lambda run: scale(*run), words), strict=True))
+    for name, (_, report) in found.items():
+        assert report == json.loads((folder / name).read_text())
+    return found
+
+
+def test_real_and_hollow_ingresses_come_through_a_restart_wave(played: Played) -> None:
+    code, report = played["wave"]
+    assert (code, report["verdict"], report["checker"]["broken"]) == (0, "holds", 0), report
+    assert (report["list"]["changes"], report["list"]["never"]) == (30, 0)
+    assert report["list"]["recovery_s"] > 0
+    assert report["roles"]["discovery"]["connections"] == 202
+    assert report["each"]["hollow"]["bytes_in_s"] > 0 < report["each"]["real"]["rss_mb"]
+    assert report["latency"]["busy"]["served"] > 0
+
+
+@pytest.mark.parametrize("plant", NAMES)
+def test_the_checker_sees_a_planted_bug(plant: str, played: Played) -> None:
+    code, report = played[plant]
+    assert (code, report["verdict"]) == (1, "broken")
+    assert report["checker"]["first"] and all("ingress 0 " in one for one in report["checker"]["first"])
+
+
+def test_a_bound_that_does_not_hold_says_by_how_much(played: Played) -> None:
+    code, report = played["bytes"]
+    wrong = [one for one in report["bounds"] if not one["holds"]]
+    assert (code, [one["name"] for one in wrong]) == (1, ["bytes_s"])
+    assert wrong[0]["measured"] > wrong[0]["most"] == 1
+
+
+def test_too_few_changes_make_a_run_void(played: Played) -> None:
+    code, report = played["few"]
+    assert (code, report["void"]) == (2, ["too few samples: 2 changes of the list"])
+
+
+def test_words_that_make_no_run() -> None:
+    assert dockthread("lab", "scale", "--hollow", "1600", "--backends", "24000").returncode == 2
+    for text in ("x", "list=-1", "lists=1", "1e9"):
+        with pytest.raises(PlanError):
+            parse_changes(text)
+    assert parse_changes("list=3") == Changes(3.0, 0.0)
+    assert plan_of(json.loads(json.dumps(SMALL.told()))) == SMALL
+
+
+def test_the_book_says_each_change_once_and_what_stands_in_the_whole_list() -> None:
+    book = Book(SMALL, 80)
+    book.open()
+    first = book.revision
+    for _ in range(40):
+        book.drawn()
+    gone = len(list(book.zone_leaves()))
+    assert gone > 0 and len(book.since(first) or []) == 40 + gone
+    assert book.since(-5) is None
+    whole = json.loads(book.whole().split(b"\r\n")[1])
+    assert len(whole["targets"]) == 30 - gone == len(published(book.changes))
+    list(book.zone_returns())
+    assert len(published(book.changes)) == 30
+    assert len({address_of(n) for n in range(70_000)}) == 70_000
+
+
+def test_the_checker_names_what_is_missing() -> None:
+    entry = {"uid": "a", "endpoint": "h:1", "state": "active", "capacity_hint": 1.0}
+    changes: list[Any] = [
+        [2, 0.0, [entry, {**entry, "uid": "b"}]],
+        [3, 0.0, [{**entry, "uid": "b", "state": "left"}]],
+    ]
+    right: dict[str, Any] = {"tables": [{"rows": [["a", "h:1", True, 1.0]], "ingresses": [0, 1]}], "went_back": []}
+    assert judge(changes, [right], 2) == []
+    assert judge(changes, [right], 3) == ["2 of 3 ingresses said what they hold"]
+    wrong = {**right, "went_back": [[1, [3, 2], []]]}
+    assert judge(changes, [wrong], 2) == ["ingress 1 went back from revision 3 to 2"]
+    empty = {**right, "tables": [{"rows": [], "ingresses": [0, 1]}]}
+    assert len(judge(changes, [empty], 2)) == 2
