Draw lines through scale runs and extrapolate from them

Change: `dockthread lab scale fit REPORT...` fits figure = a + b x size by least squares over the sizes that vary (products as backends*changes on demand), prints residuals, marks a line whose residuals are over 15% of the mean figure and an extrapolation beyond four times the largest size; below four sizes, or where sizes vary together, it draws none.

--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -115,3 +115,38 @@
     except PlanError as error:
         raise click.UsageError(str(error)) from error
     return plan
+
+
+def at_size(text: str) -> dict[str, float]:
+    """`ingresses=1600,backends=24000`."""
+    from dockthread.lab.scale.fit import SIZES
+
+    found = {}
+    for part in filter(None, text.split(",")):
+        name, _, value = part.strip().partition("=")
+        if name not in SIZES:
+            raise ValueError(f"{name!r} is no size: write {', '.join(SIZES)}")
+        found[name] = float(value)
+    return found
+
+
+@scale.command()
+@click.argument("reports", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--at", default="", callback=quantity(at_size), metavar="SIZE=N,...", help="Extrapolate to this size.")
+@click.option("--terms", default="ingresses,backends,changes,configuration", show_default=True,
+              help="Of the line; products as backends*changes.")  # fmt: skip
+@click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
+def fit(reports: tuple[Path, ...], at: dict[str, float], terms: str, as_json: bool) -> None:
+    """Draw lines through the figures of four reports or more, of different sizes, and extrapolate.
+
+    Exit codes: 0 all lines fit; 1 one does not; 2 no line can be drawn."""
+    from dockthread.lab.scale.fit import FitError, fitted, terms_of
+    from dockthread.lab.scale.text import fit_lines
+
+    try:
+        found = fitted([json.loads(path.read_bytes()) for path in reports], terms_of(terms), at)
+    except (FitError, ValueError, KeyError) as error:
+        click.echo(f"no line: {error}", err=True)
+        sys.exit(VOID)
+    click.echo(json.dumps(found) if as_json else "\n".join(fit_lines(found)))
+    sys.exit(0 if all(one["fits"] for one in found["lines"]) else 1)
--- /dev/null
+++ b/dockthread/lab/scale/fit.py
@@ -0,0 +1,182 @@
+"""Lines through the figures of several scale runs, a + b * size + ..., by least squares, and what they foretell.
+
+Ordinary least squares by the normal equations, on terms scaled to one, solved by Gaussian elimination with pivots.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+LEAST_SIZES: Final = 4  # different sizes, below which no line is drawn
+FITS: Final = (
+    0.15  # root mean square of the residuals, as a part of the figures' mean, above which a line does not fit
+)
+FAR: Final = 4.0  # times the largest size measured, beyond which an extrapolation is marked
+SINGULAR: Final = 1e-9  # of a scaled pivot
+SIZES: Final = {"ingresses": "ingresses", "backends": "backends", "changes": "list_changes_s",
+                "configuration": "configuration_changes_s"}  # fmt: skip
+FIGURES: Final = (
+    "each.hollow.cpu_quiet_percent",
+    "each.hollow.cpu_percent",
+    "each.hollow.rss_mb",
+    "each.hollow.bytes_in_s",
+    "each.real.cpu_percent",
+    "each.real.rss_mb",
+    "roles.discovery.cpu_percent",
+    "roles.discovery.rss_mb",
+    "roles.discovery.bytes_out_s",
+    "roles.distributor.cpu_percent",
+    "roles.distributor.rss_mb",
+    "roles.distributor.bytes_out_s",
+    "roles.voter.cpu_percent",
+    "roles.voter.rss_mb",
+    "list.lag_ms.p50",
+    "list.lag_ms.last",
+    "list.whole_list_s",
+    "configuration.lag_ms.p50",
+    "configuration.lag_ms.last",
+)
+
+
+class FitError(ValueError):
+    """Reports that no line can be drawn through."""
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """`slopes` by term, per unit of it. `residuals`: measured less fitted, in the order of the reports."""
+
+    figure: str
+    constant: float
+    slopes: dict[str, float]
+    residuals: tuple[float, ...]
+    mean: float
+
+    @property
+    def misfit(self) -> float:
+        """Root mean square of the residuals as a part of the mean figure."""
+        if not self.mean:
+            return math.inf if any(self.residuals) else 0.0
+        return math.sqrt(sum(r * r for r in self.residuals) / len(self.residuals)) / abs(self.mean)
+
+    @property
+    def fits(self) -> bool:
+        return self.misfit <= FITS
+
+    def at(self, size: dict[str, float]) -> float:
+        return self.constant + sum(slope * value_of(term, size) for term, slope in self.slopes.items())
+
+
+def figure_of(report: dict[str, Any], path: str) -> float | None:
+    """A figure by its place, `each.hollow.rss_mb`; None where a report has none."""
+    found: Any = report
+    for name in path.split("."):
+        if not isinstance(found, dict) or (found := found.get(name)) is None:
+            return None
+    return float(found) if isinstance(found, int | float) and math.isfinite(found) else None
+
+
+def size_of(report: dict[str, Any]) -> dict[str, float]:
+    return {name: float(report["size"][key]) for name, key in SIZES.items()}
+
+
+def value_of(term: str, size: dict[str, float]) -> float:
+    """Of one term: a size, or a product such as `backends*changes`."""
+    return math.prod(size[name] for name in term.split("*"))
+
+
+def terms_of(words: str) -> tuple[str, ...]:
+    """`ingresses,backends*changes`. Raises FitError for a size that there is none of."""
+    terms = tuple(term.strip() for term in words.split(",") if term.strip())
+    for name in [name for term in terms for name in term.split("*")]:
+        if name not in SIZES:
+            raise FitError(f"{name!r} is no size: write {', '.join(SIZES)}, or products such as backends*changes")
+    return terms
+
+
+def varied(reports: Sequence[dict[str, Any]], terms: Sequence[str]) -> list[str]:
+    """The terms that differ among the reports: of the others nothing can be told."""
+    sizes = [size_of(one) for one in reports]
+    return [term for term in terms if len({value_of(term, size) for size in sizes}) > 1]
+
+
+def line(reports: Sequence[dict[str, Any]], figure: str, terms: Sequence[str]) -> Line | None:
+    """The line of one figure; None where too few runs have it. Raises FitError where terms cannot be told apart."""
+    found = [(size_of(one), value) for one in reports if (value := figure_of(one, figure)) is not None]
+    if len({tuple(size.values()) for size, _ in found}) < max(LEAST_SIZES, len(terms) + 2):
+        return None
+    scales = [max(abs(value_of(term, size)) for size, _ in found) or 1.0 for term in terms]
+    rows = [[1.0, *(value_of(t, size) / s for t, s in zip(terms, scales, strict=True))] for size, _ in found]
+    values = [value for _, value in found]
+    width = range(len(terms) + 1)
+    normal = [[sum(row[i] * row[j] for row in rows) for j in width] for i in width]
+    right = [sum(row[i] * value for row, value in zip(rows, values, strict=True)) for i in width]
+    solved = solve(normal, right)
+    residuals = tuple(
+        value - sum(c * x for c, x in zip(solved, row, strict=True)) for row, value in zip(rows, values, strict=True)
+    )
+    slopes = {term: c / scale for term, c, scale in zip(terms, solved[1:], scales, strict=True)}
+    return Line(figure, solved[0], slopes, residuals, sum(values) / len(values))
+
+
+def solve(matrix: list[list[float]], right: list[float]) -> list[float]:
+    """A linear system. Raises FitError where it has not one solution."""
+    rows = [[*row, value] for row, value in zip(matrix, right, strict=True)]
+    size = len(rows)
+    for at in range(size):
+        pivot = max(range(at, size), key=lambda n: abs(rows[n][at]))
+        rows[at], rows[pivot] = rows[pivot], rows[at]
+        if abs(rows[at][at]) < SINGULAR:
+            raise FitError("the sizes vary together: their slopes cannot be told apart; hold one")
+        for n in range(at + 1, size):
+            factor = rows[n][at] / rows[at][at]
+            rows[n] = [x - factor * y for x, y in zip(rows[n], rows[at], strict=True)]
+    solved = [0.0] * size
+    for at in reversed(range(size)):
+        rest = sum(rows[at][n] * solved[n] for n in range(at + 1, size))
+        solved[at] = (rows[at][size] - rest) / rows[at][at]
+    return solved
+
+
+def beyond(reports: Sequence[dict[str, Any]], at: dict[str, float]) -> list[str]:
+    """The sizes asked for that lie far beyond any measured."""
+    largest = {name: max(size_of(one)[name] for one in reports) for name in SIZES}
+    return [name for name, value in at.items() if value > FAR * largest[name]]
+
+
+def fitted(reports: Sequence[dict[str, Any]], terms: Sequence[str], at: dict[str, float]) -> dict[str, Any]:
+    """All lines that can be drawn; `at`: a size to extrapolate to, or empty."""
+    used = [one for one in reports if "size" in one]
+    told = varied(used, terms)
+    if not told:
+        raise FitError("the reports are of one size: a line needs runs at four sizes or more")
+    lines = [found for figure in FIGURES if (found := line(used, figure, told)) is not None]
+    if not lines:
+        raise FitError(
+            f"too few sizes: a line over {', '.join(told)} needs {max(LEAST_SIZES, len(told) + 2)} of them"
+        )
+    full = {name: at.get(name, 0.0) for name in SIZES}
+    return {
+        "terms": told,
+        "sizes": [size_of(one) for one in used],
+        "not_used": len(reports) - len(used),
+        "void": sum(one["verdict"] == "void" for one in used),
+        "threshold": FITS,
+        "at": at,
+        "beyond": beyond(used, at),
+        "lines": [
+            {
+                "figure": one.figure,
+                "constant": one.constant,
+                "slopes": one.slopes,
+                "residuals": [round(r, 5) for r in one.residuals],
+                "misfit": round(one.misfit, 4),
+                "fits": one.fits,
+                **({"at": one.at(full)} if at else {}),
+            }
+            for one in lines
+        ],
+    }
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -4,12 +4,14 @@
 
 import json
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import Any
 
 import pytest
 
 from dockthread.lab.scale.checker import judge, published
 from dockthread.lab.scale.discovery import Book, address_of
+from dockthread.lab.scale.fit import FitError, fitted
 from dockthread.lab.scale.plan import Changes, Plan, PlanError, parse_changes, plan_of
 from dockthread.lab.scale.plants import NAMES
 from tests.test_cli import dockthread
@@ -115,3 +117,36 @@
     assert judge(changes, [wrong], 2) == ["ingress 1 went back from revision 3 to 2"]
     empty = {**right, "tables": [{"rows": [], "ingresses": [0, 1]}]}
     assert len(judge(changes, [empty], 2)) == 2
+
+
+def reports_of(*figures: tuple[int, int, float]) -> list[dict[str, Any]]:
+    """Ingresses, backends and a figure of each."""
+    return [
+        {"verdict": "holds", "each": {"hollow": {"rss_mb": figure}},
+         "size": {"ingresses": n, "backends": b, "list_changes_s": 1.0, "configuration_changes_s": 0.0}}
+        for n, b, figure in figures
+    ]  # fmt: skip
+
+
+def test_a_fit_finds_the_slopes_again_and_extrapolates(tmp_path: Path) -> None:
+    sizes = ((10, 240), (100, 240), (400, 240), (10, 1000), (10, 4000))
+    paths = []
+    for number, one in enumerate(reports_of(*((n, b, 2.0 + 0.001 * n + 0.003 * b) for n, b in sizes))):
+        paths.append(tmp_path / f"{number}.json")
+        paths[-1].write_text(json.dumps(one))
+    at = ("--at", "ingresses=1600,backends=24000")
+    done = dockthread("lab", "scale", "fit", "--json", *map(str, paths), *at)
+    found = json.loads(done.stdout)
+    (line,) = found["lines"]
+    assert (done.returncode, found["terms"], found["beyond"]) == (0, ["ingresses", "backends"], ["backends"])
+    assert line["at"] == pytest.approx(2.0 + 1.6 + 72.0) and line["slopes"]["backends"] == pytest.approx(0.003)
+    assert dockthread("lab", "scale", "fit", *map(str, paths[:3]), *at).returncode == 2
+
+
+def test_a_fit_says_where_a_line_does_not_fit_and_where_sizes_vary_together() -> None:
+    bent = fitted(reports_of(*((n, 240, n * n / 100.0) for n in (1, 10, 50, 100))), ["ingresses"], {})
+    assert not bent["lines"][0]["fits"]
+    with pytest.raises(FitError, match="vary together"):
+        fitted(reports_of(*((n, 10 * n, 1.0) for n in (1, 2, 3, 4))), ["ingresses", "backends"], {})
+    with pytest.raises(FitError, match="one size"):
+        fitted(reports_of((1, 1, 1.0)), ["ingresses"], {})
