--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -55,6 +55,9 @@
 @click.option("--fault", default="none", show_default=True, type=click.Choice(FAULTS))
 @click.option("--rate", default=100.0, show_default=True, type=click.FloatRange(0, 5000),
               help="Requests a second to each real ingress.")  # fmt: skip
+@click.option("--routes", default=100, show_default=True, type=click.IntRange(1, 20_000),
+              help="Published before the windows, where configuration changes.")  # fmt: skip
+@click.option("--distributors", default=2, show_default=True, type=click.IntRange(1, 32))
 @click.option("--hosts", default=0, type=click.IntRange(0, 64), help="Processes of hollow ingresses; 0: by number.")
 @click.option("--most-lag", callback=quantity(Duration.parse), metavar="TIME", help="Until in force at the last.")
 @click.option("--most-cpu", callback=quantity(Share.parse), metavar="SHARE", help="Of a core, an ingress.")
--- a/dockthread/lab/scale/checker.py
+++ b/dockthread/lab/scale/checker.py
@@ -24,9 +24,19 @@
     return [standing[uid] for uid in sorted(standing)]
 
 
-def judge(changes: list[Any], findings: list[dict[str, Any]], expected: int) -> list[str]:
+def published_routes(changes: list[Any]) -> list[list[Any]]:
+    """What stands after all accepted changes, in the order of their revisions: name and version."""
+    standing: dict[str, Any] = {}
+    for _, _, name, version in changes:
+        if version is None:
+            standing.pop(name, None)
+        else:
+            standing[name] = version
+    return [[name, standing[name]] for name in sorted(standing)]
+
+
+def judge(wanted: list[list[Any]], findings: list[dict[str, Any]], expected: int) -> list[str]:
     """Each rule that broke, in words; empty where all held. `expected`: the number of ingresses."""
-    wanted = published(changes)
     broken, seen = [], 0
     for found in findings:
         for group in found["tables"]:
@@ -45,6 +55,6 @@
 
 def _difference(rows: list[Any], wanted: list[Any]) -> str:
     held, right = {row[0]: row for row in rows}, {row[0]: row for row in wanted}
-    wrong = sorted(uid for uid in held.keys() | right.keys() if held.get(uid) != right.get(uid))
-    shown = "; ".join(f"{uid}: holds {held.get(uid)}, wanted {right.get(uid)}" for uid in wrong[:MOST_SHOWN])
-    return f"ends with {len(wrong)} of {len(right)} backends wrong: {shown}"
+    wrong = sorted(name for name in held.keys() | right.keys() if held.get(name) != right.get(name))
+    shown = "; ".join(f"{name}: holds {held.get(name)}, wanted {right.get(name)}" for name in wrong[:MOST_SHOWN])
+    return f"ends with {len(wrong)} of {len(right)} wrong: {shown}"
--- a/dockthread/lab/scale/hollow.py
+++ b/dockthread/lab/scale/hollow.py
@@ -1,25 +1,35 @@
-"""A hollow ingress: the watch, the destination set and the module of a real one, joined as there, without clients."""
+"""A hollow ingress: watch, destination set, module and receiver of configuration, joined as in a real one.
+
+It has no clients and calls no backend. To the receiver of configuration (`Controlled`) it stands for the ingress."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
-from dataclasses import replace
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import Any, Final, cast
 
 from dockthread.clock import Clock
+from dockthread.distribution.ingress import Controlled
+from dockthread.lab.scale.control import ControlWitness, options_of
+from dockthread.lab.scale.plants import alteration, control_alteration
 from dockthread.lab.scale.witness import Row, Witness, table
 from dockthread.module import api
 from dockthread.module.rules import Gateway
+from dockthread.net.counter import Counter
 from dockthread.net.decider import Decider
 from dockthread.net.destination_set import DestinationSet
-from dockthread.net.ingress import HOUSEKEEPING
+from dockthread.net.ingress import HOUSEKEEPING, Ingress
 from dockthread.net.timers import Timers
 from dockthread.net.watch import Watch
-from dockthread.settings import Address, Names
+from dockthread.routes.layers import Layers
+from dockthread.routes.table import Table
+from dockthread.settings import Address, Config, Names
 
-EMPTY = {"rev": 0, "all": True, "targets": []}
+EMPTY: Final[dict[str, Any]] = {"rev": 0, "all": True, "targets": []}
+NOWHERE: Final = Address("127.0.0.1", 0)  # it listens to no client
+COUNTER_TIMEOUT: Final = 50.0  # ms; there is no counter to call
 Alteration = Callable[[Any], Any]  # of a message before it is applied: a planted bug; None passes it over
 
 
@@ -34,35 +44,59 @@
         return super().apply(message, cached)
 
 
+@dataclass(frozen=True, slots=True)
+class Shared:
+    """What all hollow ingresses of a process have in common. `discovery`, `servers`: without, and with a cut."""
+
+    settings: api.Settings
+    names: Names
+    discovery: tuple[Address, Address]
+    servers: tuple[Sequence[str], Sequence[str]] = ((), ())  # of configuration; empty for none
+    key_file: str = ""
+
+
 class HollowIngress:
-    """One life of one: `settings` and `names` are shared by all of a process."""
+    """One life of one. `control`: where it receives configuration too; `plant`: a bug that it has."""
 
     def __init__(
-        self, witness: Witness, settings: api.Settings, names: Names, discovery: Address, alter: Alteration | None
+        self, witness: Witness, control: ControlWitness | None, shared: Shared, cut: bool, plant: str = ""
     ) -> None:
-        self.witness, number = witness, witness.number
-        self.clock = Clock()
-        module = replace(settings, number=number, zone=number % len(names.zones))
+        self.witness, self._control_witness, number = witness, control, witness.number
+        self.clock, self._plant = Clock(), plant
+        module = replace(shared.settings, number=number, zone=number % len(shared.names.zones))
         self.gateway = Gateway(module, number + 1, self.clock.now() / 1000.0)
         self._decider = Decider(self.gateway, self.clock, lambda request: None)
         self._timers = Timers(self.clock, module.tick * 1000.0)
-        self.destinations = DestinationSet(names, self.clock)
-        if alter is not None:
-            self.destinations = AlteredSet(names, self.clock)
+        self.destinations = DestinationSet(shared.names, self.clock)
+        if (alter := alteration(plant)) is not None:
+            self.destinations = AlteredSet(shared.names, self.clock)
             self.destinations.alter = alter
+        discovery = shared.discovery[cut]
         self.watch = Watch(discovery, self.destinations, self.clock, self._listed, module, number + 1)
         self._decider.carry_out = {api.SetTimer: self._set_timer, api.AskForList: lambda action: None}
         self._watching: asyncio.Task[None] | None = None
         self._stopped = False
+        self.config = Config(f"n{number}", NOWHERE, discovery, number + 1, 1024, EMPTY, module, shared.names)
+        self.counter = Counter(None, self.clock, self._decider.tell, self._timers.at, timeout=COUNTER_TIMEOUT)
+        self.layers = Layers(Table(shared.names, module.zone, number + 1), module, shared.names)
+        self._controlled: Controlled | None = None
+        if control is not None:
+            options = options_of(number, shared.servers[cut], shared.key_file)
+            self._controlled = Controlled(cast(Ingress, self), self.layers, options)
 
     def start(self) -> None:
         """In the order of an ingress's own start."""
+        if self._controlled is not None and self._control_witness is not None:
+            self._controlled.open()
+            self._control_witness.observe(self._controlled, control_alteration(self._plant))
         self.watch.begin(EMPTY, self._timers.at)
         self._housekeeping()
         self._watching = asyncio.get_running_loop().create_task(self.watch.run())
 
     async def stop(self) -> None:
         self._stopped = True
+        if self._controlled is not None:
+            await self._controlled.close()
         if self._watching is not None:
             self._watching.cancel()
             with suppress(asyncio.CancelledError):
--- a/dockthread/lab/scale/host.py
+++ b/dockthread/lab/scale/host.py
@@ -8,11 +8,12 @@
 import time
 
 from dockthread.lab.scale.channel import Words, serve_commands
-from dockthread.lab.scale.hollow import HollowIngress
-from dockthread.lab.scale.plan import Plan, plan_of, settings
-from dockthread.lab.scale.plants import alteration
+from dockthread.lab.scale.control import ControlWitness
+from dockthread.lab.scale.hollow import HollowIngress, Shared
+from dockthread.lab.scale.plan import plan_of, settings
+from dockthread.lab.scale.routes import rows
 from dockthread.lab.scale.usage import Lateness, traffic
-from dockthread.lab.scale.witness import InForce, Witness, findings
+from dockthread.lab.scale.witness import InForce, Observed, Witness, findings
 from dockthread.settings import Address, Names, read_settings
 
 HOST = "127.0.0.1"
@@ -31,37 +32,48 @@
     """Its ingresses by number; empty for the baseline."""
 
     def __init__(self) -> None:
-        self._in_force, self._lateness = InForce(), Lateness()
+        self._in_force, self._control_in_force, self._lateness = InForce(), InForce(), Lateness()
         self._witnesses: dict[int, Witness] = {}
+        self._controls: dict[int, ControlWitness] = {}
         self._ingresses: dict[int, HollowIngress] = {}
         self._ports: list[int] = []
-        self._plan: Plan | None = None
-        self._watching: asyncio.Task[None] | None = None
+        self._control_ports: list[int] = []
 
     async def begin(self, told: Words) -> Words:
         self._plan, self._ports = plan_of(told["plan"]), told["discovery"]
-        words = settings(self._plan.ingresses)
-        self._settings, self._names = read_settings(json.dumps(words).encode()), names_of(words)
+        words, control = settings(self._plan.ingresses), told["control"]
+        first, cut = (Address(HOST, port) for port in self._ports)
+        servers: list[list[str]] = control["servers"] if control else [[], []]
+        self._control_ports = [Address.parse(one).port for at in servers for one in at]
+        self._shared = Shared(
+            read_settings(json.dumps(words).encode()),
+            names_of(words),
+            (first, cut),
+            (servers[0], servers[1]),
+            control["key_file"] if control else "",
+        )
         self._planted = min(told["numbers"]) if told["numbers"] and told["plants"] else -1
         for number in told["numbers"]:
             self._witnesses[number] = Witness(number, self._in_force)
+            if control:
+                self._controls[number] = ControlWitness(number, self._control_in_force)
         self._start(list(self._witnesses), True)
         self._watching = asyncio.get_running_loop().create_task(self._lateness.watch())
         return {}
 
     def _start(self, numbers: list[int], first: bool) -> None:
-        assert self._plan is not None
         for number in numbers:
-            self._witnesses[number].new_life(first)
-            alter = alteration(self._plan.plant) if number == self._planted else None
-            discovery = Address(HOST, self._ports[self._plan.in_cut(number)])
-            one = HollowIngress(self._witnesses[number], self._settings, self._names, discovery, alter)
+            witness, control = self._witnesses[number], self._controls.get(number)
+            plant = self._plan.plant if number == self._planted else ""
+            witness.new_life(first)
+            if control is not None:
+                control.new_life(first)
+            one = HollowIngress(witness, control, self._shared, self._plan.in_cut(number), plant)
             self._ingresses[number] = one
             one.start()
 
     async def stop(self, told: Words) -> Words:
         """End the ingresses that the fault ends, all at once."""
-        assert self._plan is not None
         ended = [number for number in self._ingresses if self._plan.restarted(number)]
         await asyncio.gather(*(self._ingresses.pop(number).stop() for number in ended))
         gc.collect()
@@ -73,16 +85,21 @@
         return {"at": time.monotonic()}
 
     async def state(self, told: Words) -> Words:
+        seen: list[Observed] = [*self._witnesses.values(), *self._controls.values()]
         return {
             "lowest": min((one.reached for one in self._witnesses.values()), default=-1),
-            "messages": sum(one.messages for one in self._witnesses.values()),
+            "lowest_configuration": min((one.reached for one in self._controls.values()), default=-1),
+            "messages": sum(one.messages for one in seen),
             "traffic": traffic(self._ports, local=False),
+            "control_traffic": traffic(self._control_ports, local=False),
             "late": self._lateness.taken(),
         }
 
     async def findings(self, told: Words) -> Words:
         tables = {number: one.table() for number, one in self._ingresses.items()}
-        return findings(list(self._witnesses.values()), tables, self._in_force)
+        routes = {number: rows(one.layers) for number, one in self._ingresses.items() if number in self._controls}
+        found = findings(list(self._witnesses.values()), tables, self._in_force)
+        return {**found, "configuration": findings(list(self._controls.values()), routes, self._control_in_force)}
 
 
 async def play() -> None:
--- a/dockthread/lab/scale/plan.py
+++ b/dockthread/lab/scale/plan.py
@@ -11,6 +11,7 @@
 HOSTED: Final = 200  # hollow ingresses of one process, unless the run says otherwise
 MOST_HOSTS: Final = 8
 MOST_ENTRIES: Final = 4_500_000  # list entries held by all hollow ingresses together: some 11 GB at 2.5 KB each
+MOST_ROUTES: Final = 1_000_000  # held by all ingresses together
 RESTARTED_PART: Final = 0.1  # of the ingresses, by a restart wave
 CUT_PART: Final = 0.25  # of the ingresses, by a cut
 LOST_ZONE: Final = ZONES - 1  # by the fault `zone`: the first ingresses, which may be under load, lie elsewhere
@@ -62,6 +63,7 @@
     rate: float = 100.0  # requests a second to each real ingress
     hosts: int = 0
     plant: str = ""
+    routes: int = 100  # published before the windows, where configuration changes
     distributors: int = 2
     voters: int = 3
 
@@ -71,12 +73,19 @@
             raise PlanError(f"{self.fault!r} is none of {', '.join(FAULTS)}")
         if self.real + self.hollow < 1:
             raise PlanError("there is no ingress: ask for one real or hollow at least")
+        if (held := self.ingresses * self.routes * self.distributes) > MOST_ROUTES:
+            raise PlanError(f"{self.ingresses} ingresses hold {held} routes, over {MOST_ROUTES}: ask for fewer")
         if (entries := self.ingresses * self.backends) > MOST_ENTRIES:
             raise PlanError(
                 f"{self.ingresses} ingresses before {self.backends} backends hold {entries} entries,"
                 f" over {MOST_ENTRIES}: vary one while the other is small"
             )
 
+    @property
+    def distributes(self) -> bool:
+        """Whether there is a distribution of configuration."""
+        return self.changes.configuration_rate > 0
+
     @property
     def ingresses(self) -> int:
         return self.real + self.hollow
--- a/dockthread/lab/scale/plants.py
+++ b/dockthread/lab/scale/plants.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any, Final
 
-NAMES: Final = ("lost", "older", "stale-list")
+from dockthread.distribution.messages import Resource
+
+LIST_NAMES: Final = ("lost", "older", "stale-list")
+ROUTE_NAMES: Final = ("route-lost", "route-older")
+NAMES: Final = LIST_NAMES + ROUTE_NAMES
 AFTER: Final = 3  # changes before a bug shows
 
 
 def alteration(name: str) -> Callable[[Any], Any] | None:
     """What becomes of each message before it is applied; None for no bug."""
-    if not name:
+    if name not in LIST_NAMES:
         return None
     return {"lost": _lost, "older": _older, "stale-list": _stale_list}[name]()
 
@@ -64,3 +68,35 @@
         return whole[0] if seen == AFTER and whole else message
 
     return alter
+
+
+def control_alteration(name: str) -> Callable[[Sequence[Resource]], Sequence[Resource]] | None:
+    """What becomes of the resources that an ingress is to put in force; None for no bug."""
+    if name not in ROUTE_NAMES:
+        return None
+    return _route_lost() if name == "route-lost" else _route_older()
+
+
+def _route_lost() -> Callable[[Sequence[Resource]], Sequence[Resource]]:
+    """Changes of one route are not put in force."""
+    lost = ""
+
+    def alter(changes: Sequence[Resource]) -> Sequence[Resource]:
+        nonlocal lost
+        lost = lost or (changes[-1].name if changes else "")
+        return [one for one in changes if one.name != lost]
+
+    return alter
+
+
+def _route_older() -> Callable[[Sequence[Resource]], Sequence[Resource]]:
+    """Once some changes came, one that was replaced is put in force again."""
+    first: dict[str, Resource] = {}
+
+    def alter(changes: Sequence[Resource]) -> Sequence[Resource]:
+        older = [first[one.name] for one in changes if one.name in first]
+        for one in changes:
+            first.setdefault(one.name, one)
+        return [*changes, *older]
+
+    return alter
--- a/dockthread/lab/scale/real.py
+++ b/dockthread/lab/scale/real.py
@@ -6,9 +6,12 @@
 import os
 
 from dockthread.lab.scale.channel import Words, serve_commands
+from dockthread.lab.scale.control import ControlWitness
+from dockthread.lab.scale.routes import rows
 from dockthread.lab.scale.usage import Lateness, traffic
-from dockthread.lab.scale.witness import InForce, Witness, findings, table
+from dockthread.lab.scale.witness import InForce, Row, Witness, findings, table
 from dockthread.observer import Observer
+from dockthread.sections import load
 from dockthread.serve import Daemon
 from dockthread.settings import read_config
 
@@ -26,38 +29,56 @@
 
 
 class Real:
+    """Its daemon and what it received."""
+
     def __init__(self) -> None:
-        self._lateness, self._in_force = Lateness(), InForce()
+        self._lateness, self._in_force, self._control_in_force = Lateness(), InForce(), InForce()
+        self._control: ControlWitness | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def begin(self, told: Words) -> Words:
-        self._ports = told["discovery"]
+        """`ini`: the operator's file, or empty. `reached`: revisions of a life before."""
+        self._ports, self._control_ports = told["discovery"], told["control_ports"]
         self._witness = Witness(told["number"], self._in_force, told["reached"])
         self._witness.new_life(not told["reached"])
-        self._daemon = Daemon(read_config({**os.environ, "NODE_CONFIG": told["config"]}), None, None)
+        config = read_config({**os.environ, "NODE_CONFIG": told["config"]})
+        read = load(told["ini"], config.module, config.names) if told["ini"] else None
+        self._daemon = Daemon(config, told["ini"] or None, read)
         ingress = self._daemon.ingress
         ingress.observe(ListObserver(self._daemon, self._witness))
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._daemon.run()), loop.create_task(self._lateness.watch())]
         while not ingress.lifecycle.ready and not self._tasks[0].done():
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(0)
+            if self._control is None and (controlled := self._daemon._controlled) is not None:
+                self._control = ControlWitness(told["number"], self._control_in_force, told["reached_configuration"])
+                self._control.new_life(not told["reached_configuration"])
+                self._control.observe(controlled)
         if self._tasks[0].done():
             await self._tasks[0]
         return {"port": ingress.address.port}
 
     async def state(self, told: Words) -> Words:
+        control = self._control
         return {
             "lowest": self._witness.reached,
-            "messages": self._witness.messages,
+            "lowest_configuration": control.reached if control is not None else -1,
+            "messages": self._witness.messages + (control.messages if control is not None else 0),
             "traffic": traffic(self._ports, local=False),
+            "control_traffic": traffic(self._control_ports, local=False),
             "late": self._lateness.taken(),
         }
 
     async def findings(self, told: Words) -> Words:
-        ingress = self._daemon.ingress
-        tables = {self._witness.number: table(ingress.gateway, ingress.destinations)}
-        found = findings([self._witness], tables, self._in_force)
-        return {**found, "number": self._witness.number, "reached": self._witness.reached}
+        ingress, number = self._daemon.ingress, self._witness.number
+        found = findings([self._witness], {number: table(ingress.gateway, ingress.destinations)}, self._in_force)
+        found |= {"number": number, "reached": self._witness.reached, "reached_configuration": 0}
+        routes: dict[int, list[Row]] = {}
+        controls = [self._control] if self._control is not None else []
+        for control in controls:
+            found["reached_configuration"] = control.reached
+            routes[number] = rows(self._daemon._routes) if self._daemon._routes is not None else []
+        return {**found, "configuration": findings(controls, routes, self._control_in_force)}
 
 
 async def play() -> None:
--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from dockthread.lab.outcome import Outcome, histogram
-from dockthread.lab.scale.checker import MOST_NAMED, judge
+from dockthread.lab.scale.checker import MOST_NAMED, judge, published, published_routes
 from dockthread.lab.scale.plan import REGIONS, ZONES
 from dockthread.lab.scale.run import Run, Window
 from dockthread.lab.scale.usage import MEGABYTE, share
@@ -16,6 +16,11 @@
 LEAST_CHANGES: Final = 10  # in force and measured, for a figure of lag
 LEAST_REQUESTS: Final = 1000  # in each window, for a figure of latency
 MOST_SHARE: Final = 90.0  # percent of a core: a process of the tool that uses more has no time left to be on time
+RATES: Final = (
+    "bytes_in_s", "bytes_out_s", "configuration_bytes_in_s", "configuration_bytes_out_s", "messages_s", "connections",
+)  # fmt: skip
+NOTHING: Final = {"in": 0, "out": 0, "connections": 0}
+ROLES: Final = ("discovery", "voter", "distributor", "backends", "baseline", "host", "real")
 HOLDS, BROKEN, VOID = "holds", "broken", "void"
 METHOD: Final = (
     "CPU and RSS from /proc, bytes from TCP_INFO (payload), times on the machine's monotonic clock. A hollow"
@@ -47,38 +52,61 @@
     return {name: round(quantile(ordered, part), 1) for name, part in marks.items()}
 
 
-def lags(run: Run) -> dict[str, Any]:
-    """For each change of the list, ms until it was in force at the last ingress; those in a fault are apart."""
+def lags(changes: list[Any], found: list[dict[str, Any]], expected: int, fault: dict[str, float]) -> dict[str, Any]:
+    """For each change, ms until it was in force at the last of the `expected` ingresses; those of a fault are apart.
+
+    `changes`: revision, when it was published, and more. `fault`: when it began and ended, and the last revision
+    published by its end; empty for none."""
     count: dict[int, int] = {}
     last: dict[int, float] = {}
-    for found in [*run.findings, *run.ended]:
-        for number, many, at in found["in_force"]:
+    for one in found:
+        for number, many, at in one["in_force"]:
             count[int(number)] = count.get(int(number), 0) + int(many)
             last[int(number)] = max(last.get(int(number), 0.0), at)
-    begun, ended = run.fault.get("begun", math.inf), run.fault.get("ended", -math.inf)
-    plain, within, never, whole = [], [], 0, math.nan
-    for number, at, _ in run.log["changes"]:
-        if count.get(number, 0) < run.plan.ingresses:
+    plain, within, never = [], [], 0
+    for number, at, *_ in changes:
+        if count.get(number, 0) < expected:
             never += 1
-        elif number == run.opened:
-            whole = round(last[number] - at, 3)
-        elif begun <= at and run.fault.get("revision", 0) >= number:
+        elif fault and at >= fault["begun"] and number <= fault["revision"]:
             within.append((last[number] - at) * 1000.0)
         else:
             plain.append((last[number] - at) * 1000.0)
-    informed = max(found["informed_at"] for found in run.findings)
-    found_again = max(informed, last.get(run.fault.get("revision", -1), math.nan)) - ended
+    again = None
+    if fault:
+        informed = max(one["informed_at"] for one in found)
+        again = round(max(0.0, informed - fault["ended"], last.get(int(fault["revision"]), 0.0) - fault["ended"]), 3)
     return {
         "changes": len(plain) + len(within) + never,
         "never": never,
         "lag_ms": summary_of(plain),
         "lag_in_fault_ms": summary_of(within),
-        "whole_list_s": whole,
-        "recovery_s": round(max(0.0, found_again), 3) if run.fault and not math.isnan(found_again) else None,
+        "recovery_s": again,
         "samples": len(plain),
     }
 
 
+def list_lags(run: Run) -> dict[str, Any]:
+    changes = [one for one in run.log["changes"] if one[0] != run.opened]
+    fault = {name: run.fault[name] for name in ("begun", "ended", "revision")} if run.fault else {}
+    found = [*run.findings, *run.ended]
+    whole = [at for one in found for number, _, at in one["in_force"] if number == run.opened]
+    opened = next(at for number, at, _ in run.log["changes"] if number == run.opened)
+    first = {"whole_list_s": round(max(whole) - opened, 3)} if whole and not run.fault else {}
+    return {**lags(changes, found, run.plan.ingresses, fault), **first}
+
+
+def configuration_lags(run: Run) -> dict[str, Any] | None:
+    if not run.plan.distributes:
+        return None
+    fault = {}
+    if run.fault:
+        fault = {**run.fault, "revision": run.fault["configuration_revision"]}
+    changes = [one for one in run.routes_log["changes"] if one[0] > run.filled]
+    found = [one["configuration"] for one in [*run.findings, *run.ended]]
+    refused = run.routes_log["refused"]
+    return {**lags(changes, found, run.plan.ingresses, fault), "refused": len(refused), "why": refused[:MOST_NAMED]}
+
+
 def cost(window: Window, role: str) -> list[float]:
     """CPU in percent of a core, of each process of a role."""
     return [share(before, after) for before, after in window.usage.get(role, [])]
@@ -87,13 +115,14 @@
 def rates(window: Window, role: str) -> dict[str, float]:
     """Bytes and messages a second over a role's processes together, and its connections."""
     seconds = [after.at - before.at for before, after in window.usage.get(role, [])]
-    found = {"bytes_in_s": 0.0, "bytes_out_s": 0.0, "messages_s": 0.0, "connections": 0.0}
+    found = dict.fromkeys(RATES, 0.0)
     for length, (before, after) in zip(seconds, window.states.get(role, []), strict=True):
-        old, new = before["traffic"], after["traffic"]
-        found["bytes_in_s"] += max(0, new["in"] - old["in"]) / length
-        found["bytes_out_s"] += max(0, new["out"] - old["out"]) / length
+        for kind, prefix in (("traffic", ""), ("control_traffic", "configuration_")):
+            old, new = before.get(kind, NOTHING), after.get(kind, NOTHING)
+            found[f"{prefix}bytes_in_s"] += max(0, new["in"] - old["in"]) / length
+            found[f"{prefix}bytes_out_s"] += max(0, new["out"] - old["out"]) / length
+            found["connections"] += new["connections"]
         found["messages_s"] += max(0, after.get("messages", 0) - before.get("messages", 0)) / length
-        found["connections"] += new["connections"]
     return found
 
 
@@ -118,9 +147,9 @@
         many, processes = run.plan.hollow, host["processes"]
         found["hollow"] = {
             name: round((host[name] - processes * base[name]) / many, 4)
-            for name in ("cpu_quiet_percent", "cpu_percent", "rss_mb")
+            for name in ("cpu_quiet_percent", "cpu_percent", "rss_before_list_mb", "rss_mb")
         }
-        found["hollow"] |= {name: round(host[name] / many, 2) for name in ("bytes_in_s", "bytes_out_s", "messages_s")}
+        found["hollow"] |= {name: round(host[name] / many, 2) for name in RATES}
     if run.plan.real:
         found["real"] = {name: round(real[name] / run.plan.real, 3) for name in real if name != "processes"}
     return found
@@ -155,15 +184,17 @@
             )
     why += [
         f"the tool fell behind: a process of {role} used {most:.0f}% of a core"
-        for role in ("host", "discovery", "backends")
+        for role in ("host", "discovery", "backends", "distributor", "voter")
         if (most := max(cost(run.busy, role), default=0.0)) > MOST_SHARE
     ]
-    if (late := quantile(run.log["late_starts"], 0.99)) > bounds.late:
-        why.append(f"the tool fell behind: one change in a hundred was published {late:.0f} ms late or more")
-    listed = report["list"]
-    few = listed["samples"] < LEAST_CHANGES and not listed["never"]
-    if run.plan.changes.list_rate and math.isfinite(bounds.lag) and few:
-        why.append(f"too few samples: {listed['samples']} changes of the list")
+    for log in (run.log, run.routes_log):
+        if (late := quantile(log["late_starts"], 0.99)) > bounds.late:
+            why.append(f"the tool fell behind: one change in a hundred was published {late:.0f} ms late or more")
+    rates = {"list": run.plan.changes.list_rate, "configuration": run.plan.changes.configuration_rate}
+    for kind, rate in rates.items():
+        if rate and math.isfinite(bounds.lag):
+            few = report[kind]["samples"] < LEAST_CHANGES and not report[kind]["never"]
+            why += [f"too few samples: {report[kind]['samples']} changes of the {kind}"] * few
     if math.isfinite(bounds.added):
         why += _latency_voids(report["latency"])
     return why
@@ -180,16 +211,19 @@
 def judged(report: dict[str, Any], bounds: Bounds) -> list[dict[str, Any]]:
     """Each bound that was asked for, with what was measured."""
     one = report["each"].get("hollow") or report["each"]["real"]
-    listed = report["list"]
+    total = sum(one[name] for name in RATES if "bytes" in name)
     measured = {
-        "lag_ms": (bounds.lag, listed["lag_ms"].get("last", 0.0)),
-        "recovery_ms": (bounds.lag, (listed["recovery_s"] or 0.0) * 1000.0),
-        "never": (0.0 if math.isfinite(bounds.lag) else math.inf, float(listed["never"])),
         "cpu_percent": (bounds.cpu, one["cpu_percent"]),
         "memory_mb": (bounds.memory / MEGABYTE, one["rss_mb"]),
-        "bytes_s": (bounds.traffic, one["bytes_in_s"] + one["bytes_out_s"]),
+        "bytes_s": (bounds.traffic, total),
         "added_p99_ms": (bounds.added, report["latency"].get("added_p99_ms", 0.0)),
     }
+    nothing_missing = 0.0 if math.isfinite(bounds.lag) else math.inf
+    for kind in ("list", "configuration"):
+        if found := report[kind]:
+            measured[f"{kind}_lag_ms"] = (bounds.lag, found["lag_ms"].get("last", 0.0))
+            measured[f"{kind}_recovery_ms"] = (bounds.lag, (found["recovery_s"] or 0.0) * 1000.0)
+            measured[f"{kind}_never"] = (nothing_missing, float(found["never"]))
     return [
         {"name": name, "most": most, "measured": round(value, 3), "holds": value <= most}
         for name, (most, value) in measured.items()
@@ -200,7 +234,7 @@
 def report_of(run: Run, bounds: Bounds) -> dict[str, Any]:
     """All figures of a run that came to its end."""
     plan, figures = run.plan, {}
-    for role in ("discovery", "backends", "baseline", "host", "real"):
+    for role in ROLES:
         figures[role] = role_figures(run, role)
     report: dict[str, Any] = {
         "version": VERSION,
@@ -209,15 +243,20 @@
             "ingresses": plan.ingresses, "real": plan.real, "hollow": plan.hollow, "backends": plan.backends,
             "services": plan.services, "zones": ZONES, "regions": REGIONS,
             "list_changes_s": plan.changes.list_rate, "configuration_changes_s": plan.changes.configuration_rate,
+            "routes": plan.routes * plan.distributes, "distributors": plan.distributors * plan.distributes,
         },
         "seconds": plan.seconds, "seed": plan.seed, "fault": plan.fault, "plant": plan.plant,
         "roles": figures,
         "each": each(run, figures),
-        "list": lags(run),
+        "list": list_lags(run),
+        "configuration": configuration_lags(run),
         "latency": latency(run),
         "late_ms": {role: max(s["late"]["p99"] for _, s in states) for role, states in run.busy.states.items()},
     }  # fmt: skip
-    broken = judge(run.log["changes"], run.findings, plan.ingresses)
+    broken = judge(published(run.log["changes"]), run.findings, plan.ingresses)
+    if plan.distributes:
+        control = [one["configuration"] for one in run.findings]
+        broken += judge(published_routes(run.routes_log["changes"]), control, plan.ingresses)
     report["checker"] = {"broken": len(broken), "first": broken[:MOST_NAMED]}
     report["bounds"] = judged(report, bounds)
     report["void"] = voids(run, report, bounds)
--- a/dockthread/lab/scale/role.py
+++ b/dockthread/lab/scale/role.py
@@ -11,7 +11,7 @@
 import uvloop
 from loguru import logger
 
-ROLES: Final = ("discovery", "host", "real", "backends", "load")
+ROLES: Final = ("discovery", "host", "real", "backends", "load", "server", "relay", "publisher")
 SELDOM: Final = 20_000  # allocations between collections, as in the daemon
 
 
--- a/dockthread/lab/scale/run.py
+++ b/dockthread/lab/scale/run.py
@@ -10,6 +10,8 @@
 from typing import Any, Final
 
 from dockthread.lab.scale.channel import Child, ProcessError, Words
+from dockthread.lab.scale.control import options_of, section_of
+from dockthread.lab.scale.distribution import Distribution
 from dockthread.lab.scale.plan import Plan, settings
 from dockthread.lab.scale.usage import Usage, read_usage
 
@@ -55,18 +57,27 @@
         self.hosts: list[Child] = []
         self.reals: dict[int, Child] = {}
         self.load: Child | None = None
+        self.distribution = Distribution(plan, folder) if plan.distributes else None
         self._ports: list[int] = []
         self._client_ports: dict[int, int] = {}
         self.resident: dict[str, list[tuple[int, int]]] = {}  # bytes by role: before the list, with it
         self.fault: Words = {}
         self.ended: list[Words] = []  # findings of real ingresses in lives before their last
         self.quiet, self.busy = Window("quiet"), Window("busy")
-        self.opened = 0  # the revision of the whole list
+        self.opened = self.filled = 0  # revisions: of the whole list, of the last of the first routes
         self.settled = False  # all was in force in time
+        self.findings: list[Words] = []
+        self.log: Words = {}
+        self.routes_log: Words = {"changes": [], "late_starts": [], "refused": []}
 
     @property
     def children(self) -> list[Child]:
-        return [self.discovery, self.backends, self.baseline, *self.hosts, *self.reals.values()]
+        control = self.distribution.measured if self.distribution is not None else []
+        return [self.discovery, self.backends, self.baseline, *control, *self.hosts, *self.reals.values()]
+
+    @property
+    def ingresses(self) -> list[Child]:
+        return [*self.hosts, *self.reals.values()]
 
     async def play(self) -> None:
         """Raises ProcessError where the run is void; nothing of it is running afterwards."""
@@ -79,6 +90,8 @@
         finally:
             everyone = [*self.children, *([self.load] if self.load else [])]
             await asyncio.gather(*(child.end() for child in everyone))
+            if self.distribution is not None:
+                await self.distribution.end()
 
     # Start
 
@@ -87,7 +100,11 @@
         backend_port = (await self.backends.start({}, self._log("backends")))["port"]
         told = {"plan": plan, "backend_port": backend_port}
         self._ports = (await self.discovery.start(told, self._log("discovery")))["ports"]
-        common = {"plan": plan, "discovery": self._ports}
+        if self.distribution is not None:
+            await self.distribution.start()
+            self.filled = await self.distribution.fill()
+        control = self.distribution.told() if self.distribution is not None else None
+        common = {"plan": plan, "discovery": self._ports, "control": control}
         starting = [self.baseline.start({**common, "numbers": [], "plants": False}, self._log("baseline"))]
         for number, share in enumerate(self.plan.shares()):
             self.hosts.append(Child("host", number))
@@ -96,10 +113,11 @@
         if self.plan.real and self.plan.rate:
             self.load = Child("load")
             starting.append(self.load.start({"seed": self.plan.seed, "rate": self.plan.rate}, self._log("load")))
-        await asyncio.gather(*starting, *(self._start_real(number, 0) for number in range(self.plan.real)))
+        await asyncio.gather(*starting, *(self._start_real(number, 0, 0) for number in range(self.plan.real)))
         await self._until(self._watched, STARTED_WITHIN, "not all watches stood")
+        await self._until(lambda: self._reached(0, self.filled), LISTED_WITHIN, "not all had the first routes")
 
-    async def _start_real(self, number: int, reached: int) -> None:
+    async def _start_real(self, number: int, reached: int, reached_configuration: int) -> None:
         config = self._folder / f"real-{number}.json"
         words = {**settings(self.plan.ingresses), "MyNumber": number}
         raw = {
@@ -112,7 +130,21 @@
         }
         config.write_text(json.dumps(raw))
         child = self.reals[number] = Child("real", number)
-        told = {"config": str(config), "number": number, "reached": reached, "discovery": self._ports}
+        told: Words = {
+            "config": str(config),
+            "number": number,
+            "discovery": self._ports,
+            "ini": "",
+            "control_ports": [],
+        }
+        told |= {"reached": reached, "reached_configuration": reached_configuration}
+        if self.distribution is not None:
+            servers = (self.distribution.servers, self.distribution.relayed)
+            ini = self._folder / f"real-{number}.ini"
+            key_file = str(self.distribution.key_file)
+            ini.write_text(section_of(options_of(number, servers[self.plan.in_cut(number)], key_file)))
+            told["ini"] = str(ini)
+            told["control_ports"] = [int(one.rpartition(":")[2]) for at in servers for one in at]
         self._client_ports[number] = (await child.start(told, self._log(f"real-{number}")))["port"]
 
     async def _watched(self) -> bool:
@@ -123,7 +155,7 @@
         before = {child: read_usage(child.pid).rss for child in self.children}
         self.opened = (await self.discovery.ask("open"))["revision"]
         await self._until(
-            lambda: self._reached(self.opened), LISTED_WITHIN, "the whole list was not in force everywhere"
+            lambda: self._reached(self.opened, 0), LISTED_WITHIN, "the whole list was not in force everywhere"
         )
         await asyncio.sleep(SETTLES)
         for child, rss in before.items():
@@ -156,6 +188,9 @@
         begun = time.monotonic()
         if rate := self.plan.changes.list_rate:
             await self.discovery.ask("publish", rate=rate, seconds=seconds)
+        if self.distribution is not None:
+            rate = self.plan.changes.configuration_rate
+            await self.distribution.publisher.ask("publish", rate=rate, seconds=seconds)
         if self.plan.fault != "none":
             await asyncio.sleep(max(0.0, begun + FAULT_BEGINS * seconds - time.monotonic()))
             self.fault["begun"] = time.monotonic()
@@ -165,9 +200,13 @@
             await self._end_fault()
         await asyncio.sleep(max(0.0, begun + seconds - time.monotonic()))
         await self.discovery.ask("published")
+        if self.distribution is not None:
+            await self.distribution.publisher.ask("published")
 
     async def _begin_fault(self) -> None:
         await self.discovery.ask("fault", begin=True)
+        if self.distribution is not None and self.plan.fault == "cut":
+            await self.distribution.relay.ask("cut", cut=True)
         if self.plan.fault != "cut":
             await asyncio.gather(*(host.ask("stop") for host in self.hosts))
             for number, child in self.reals.items():
@@ -178,25 +217,33 @@
     async def _end_fault(self) -> None:
         self.fault["ended"] = time.monotonic()
         self.fault["revision"] = (await self.discovery.ask("fault", begin=False))["revision"]
+        if self.distribution is not None:
+            await self.distribution.relay.ask("cut", cut=False)
+            self.fault["configuration_revision"] = (await self.distribution.publisher.ask("state"))["revision"]
         if self.plan.fault != "cut":
             await asyncio.gather(*(host.ask("start") for host in self.hosts))
-            lives = {found["number"]: found["reached"] for found in self.ended}
-            await asyncio.gather(*(self._start_real(number, reached) for number, reached in lives.items()))
+            for found in self.ended:
+                await self._start_real(found["number"], found["reached"], found["reached_configuration"])
 
     # The end
 
     async def _judged(self) -> None:
-        final = int((await self.discovery.ask("state"))["revision"])
+        final, configured = int((await self.discovery.ask("state"))["revision"]), 0
+        if self.distribution is not None:
+            configured = int((await self.distribution.publisher.ask("state"))["revision"])
+            self.routes_log = await self.distribution.publisher.ask("log")
         with suppress(ProcessError):
-            await self._until(lambda: self._reached(final), SETTLED_WITHIN, "not all changes were in force")
+            await self._until(lambda: self._reached(final, configured), SETTLED_WITHIN, "not all was in force")
             self.settled = True
-        asked = [*self.hosts, *self.reals.values()]
-        self.findings = list(await asyncio.gather(*(child.ask("findings") for child in asked)))
+        self.findings = list(await asyncio.gather(*(child.ask("findings") for child in self.ingresses)))
         self.log = await self.discovery.ask("log")
 
-    async def _reached(self, revision: int) -> bool:
-        states = await asyncio.gather(*(child.ask("state") for child in [*self.hosts, *self.reals.values()]))
-        return all(state["lowest"] >= revision for state in states)
+    async def _reached(self, revision: int, configuration: int) -> bool:
+        """Whether all ingresses have come to a revision of the list, and to one of the configuration."""
+        for state in await asyncio.gather(*(child.ask("state") for child in self.ingresses)):
+            if state["lowest"] < revision or (configuration and state["lowest_configuration"] < configuration):
+                return False
+        return True
 
     async def _until(self, condition: Any, within: float, otherwise: str) -> None:
         due = time.monotonic() + within
--- /dev/null
+++ b/dockthread/lab/scale/server.py
@@ -0,0 +1,44 @@
+"""A voter or a distributor of control from its operator's file, as `dockthread control serve` runs it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from typing import Any
+
+from dockthread.clock import Clock
+from dockthread.distribution.process import Distributor, limits_of
+from dockthread.distribution.voter import Voter
+from dockthread.lab.scale.channel import Words, serve_commands
+from dockthread.lab.scale.usage import Lateness, traffic
+from dockthread.sections import load
+
+
+class ControlServer:
+    def __init__(self) -> None:
+        self._lateness = Lateness()
+
+    async def begin(self, told: Words) -> Words:
+        read = load(told["file"])
+        options = read.one("control")
+        rng = random.Random(secrets.randbits(64))
+        part: Any
+        if options.role == "distributor":
+            part = Distributor(options, Clock(), rng)
+        else:
+            limits, fanout = limits_of(options)
+            part = Voter(options.name, read.one("fleet"), Clock(), rng, limits, fanout, options.key())
+        self._part = part
+        self._port = (await part.open(options.listen_address())).port
+        self._watching = asyncio.get_running_loop().create_task(self._lateness.watch())
+        return {"port": self._port}
+
+    async def state(self, told: Words) -> Words:
+        """Traffic with those whom it serves."""
+        return {"traffic": traffic([self._port], local=True), "late": self._lateness.taken()}
+
+
+async def play() -> None:
+    server = ControlServer()
+    await serve_commands({"begin": server.begin, "state": server.state})
--- a/dockthread/lab/scale/text.py
+++ b/dockthread/lab/scale/text.py
@@ -4,7 +4,16 @@
 
 from typing import Any
 
-SHOWN = ("cpu_quiet_percent", "cpu_percent", "rss_mb", "bytes_in_s", "bytes_out_s", "messages_s", "connections")
+SHOWN = (
+    "cpu_quiet_percent",
+    "cpu_percent",
+    "rss_mb",
+    "bytes_in_s",
+    "bytes_out_s",
+    "configuration_bytes_in_s",
+    "messages_s",
+    "connections",
+)
 
 
 def lines(report: dict[str, Any]) -> list[str]:
--- a/dockthread/lab/scale/witness.py
+++ b/dockthread/lab/scale/witness.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Sequence
 from typing import Any
 
 from dockthread.module import api
 from dockthread.module.rules import Gateway
 from dockthread.net.destination_set import DestinationSet
 
-Row = list[Any]  # uid, endpoint, whether it may be sent to, weight
+Row = list[Any]  # of a backend: uid, endpoint, whether it may be sent to, weight; of a route: name, version
 
 
 class InForce:
@@ -33,38 +34,53 @@
         return [[number, many, self.last[number]] for number, many in sorted(self.count.items())]
 
 
-class Witness:
-    """Of one ingress over all its lives."""
+class Observed:
+    """What one ingress received of one kind of control, over all its lives."""
 
     def __init__(self, number: int, in_force: InForce, reached: int = 0) -> None:
         self.number, self._in_force = number, in_force
         self.reached, self.messages = reached, 0
-        self.revisions: list[int] = []  # that went back: [newer, older, ...]
-        self._held: dict[int, float] = {}  # weights by worker, since the present life began
-        self.older: list[list[Any]] = []  # versions of a backend that replaced newer ones
+        self.revisions: list[int] = []  # that went back: newer, older, ...
+        self.older: list[list[Any]] = []  # versions that replaced newer ones
         self._revision = 0
-        self._informed = True  # the present life has a list, or is the first
-        self.informed_at = 0.0  # when the last life after the first had its list
+        self._informed = True  # the present life was told something, or is the first
+        self.informed_at = 0.0  # when the last life after the first was
 
     def new_life(self, first: bool) -> None:
         """It starts with an empty memory."""
-        self._held, self._revision, self._informed = {}, 0, first
+        self._revision, self._informed = 0, first
 
-    def heard(self, revision: int, gateway: Gateway, listed: api.WorkersListed | None = None) -> None:
-        """The module has been told a list, or changes, up to this revision; `listed` where they are at hand."""
+    def come_to(self, revision: int) -> None:
+        """All up to this revision is in force."""
         self.messages += 1
         if not self._informed:
             self._informed, self.informed_at = True, time.monotonic()
         if revision < self._revision:
             self.revisions += [self._revision, revision]
         self._revision = revision
-        if listed is not None and listed.kind is api.ListKind.CHANGES:
-            for entry in listed.entries:
-                self._compare(entry.worker, gateway)
         if revision > self.reached:
             self._in_force.reached(self.reached, revision)
             self.reached = revision
 
+
+class Witness(Observed):
+    """Of the list of backends."""
+
+    def __init__(self, number: int, in_force: InForce, reached: int = 0) -> None:
+        super().__init__(number, in_force, reached)
+        self._held: dict[int, float] = {}  # weights by worker, of those changed in the present life
+
+    def new_life(self, first: bool) -> None:
+        super().new_life(first)
+        self._held = {}
+
+    def heard(self, revision: int, gateway: Gateway, listed: api.WorkersListed | None = None) -> None:
+        """The module has been told a list, or changes, up to this revision; `listed` where they are at hand."""
+        if listed is not None and listed.kind is api.ListKind.CHANGES:
+            for entry in listed.entries:
+                self._compare(entry.worker, gateway)
+        self.come_to(revision)
+
     def _compare(self, worker: int, gateway: Gateway) -> None:
         weight = gateway.workers[worker].entry.weight if worker in gateway.workers else 0.0
         before = self._held.get(worker, 0.0)
@@ -84,7 +100,7 @@
     )
 
 
-def findings(witnesses: list[Witness], tables: dict[int, list[Row]], in_force: InForce) -> dict[str, Any]:
+def findings(witnesses: Sequence[Observed], tables: dict[int, list[Row]], in_force: InForce) -> dict[str, Any]:
     """For the tool: tables that several ingresses share are said once."""
     shared: dict[str, dict[str, Any]] = {}
     for number, rows in tables.items():
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -13,7 +13,7 @@
 from dockthread.lab.scale.discovery import Book, address_of
 from dockthread.lab.scale.fit import FitError, fitted
 from dockthread.lab.scale.plan import Changes, Plan, PlanError, parse_changes, plan_of
-from dockthread.lab.scale.plants import NAMES
+from dockthread.lab.scale.plants import LIST_NAMES, NAMES, ROUTE_NAMES
 from tests.test_cli import dockthread
 
 # The machine of a test may be busy: what is measured is not judged here, only what ends up in force.
@@ -34,7 +34,9 @@
              "--fault", "restart-wave"),
     "bytes": (*TINY, "--changes", "list=12", "--most-bytes", "1B"),
     "few": (*TINY, "--changes", "list=2"),
-    **{plant: (*TINY, "--changes", "list=12", "--plant", plant) for plant in NAMES},
+    **{plant: (*TINY, "--changes", "list=12", "--plant", plant) for plant in LIST_NAMES},
+    **{plant: (*TINY, "--changes", "config=12", "--routes", "5", "--plant", plant) for plant in ROUTE_NAMES},
+    "cut": ("--real", "1", "--hollow", "40", "--seconds", "4", "--changes", "10", "--routes", "20", "--fault", "cut"),
 }  # fmt: skip
 
 
@@ -60,6 +62,15 @@
     assert report["latency"]["busy"]["served"] > 0
 
 
+def test_list_and_configuration_are_in_force_everywhere_once_a_cut_heals(played: Played) -> None:
+    code, report = played["cut"]
+    assert (code, report["checker"]["broken"]) == (0, 0), report
+    for kind in ("list", "configuration"):
+        assert (report[kind]["changes"], report[kind]["never"]) == (40, 0)
+        assert report[kind]["lag_in_fault_ms"]["last"] > 500 and report[kind]["recovery_s"] > 0
+    assert (report["roles"]["voter"]["processes"], report["roles"]["distributor"]["processes"]) == (3, 2)
+
+
 @pytest.mark.parametrize("plant", NAMES)
 def test_the_checker_sees_a_planted_bug(plant: str, played: Played) -> None:
     code, report = played[plant]
@@ -111,12 +122,13 @@
         [3, 0.0, [{**entry, "uid": "b", "state": "left"}]],
     ]
     right: dict[str, Any] = {"tables": [{"rows": [["a", "h:1", True, 1.0]], "ingresses": [0, 1]}], "went_back": []}
-    assert judge(changes, [right], 2) == []
-    assert judge(changes, [right], 3) == ["2 of 3 ingresses said what they hold"]
+    wanted = published(changes)
+    assert judge(wanted, [right], 2) == []
+    assert judge(wanted, [right], 3) == ["2 of 3 ingresses said what they hold"]
     wrong = {**right, "went_back": [[1, [3, 2], []]]}
-    assert judge(changes, [wrong], 2) == ["ingress 1 went back from revision 3 to 2"]
+    assert judge(wanted, [wrong], 2) == ["ingress 1 went back from revision 3 to 2"]
     empty = {**right, "tables": [{"rows": [], "ingresses": [0, 1]}]}
-    assert len(judge(changes, [empty], 2)) == 2
+    assert len(judge(wanted, [empty], 2)) == 2
 
 
 def reports_of(*figures: tuple[int, int, float]) -> list[dict[str, Any]]:
