Follow the list in parts in the scale run, and name the measured tree in its report

Cause: a long list is now taken over in parts, so a planted bug before the whole was passed by, the first part of a restarted ingress's list counted as its list, and the witness compared every entry of it, 2 MB an ingress that the program does not hold.

--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -67,10 +67,11 @@
 @click.option("--most-late", default="250ms", show_default=True, callback=quantity(Duration.parse), metavar="TIME",
               help="p99 lateness of the tool's own loops from which the run is void.")  # fmt: skip
 @click.option("--plant", default="", type=click.Choice(["", *NAMES]), help="A bug that the checker must find.")
+@click.option("--label", default="", help="Kept in the report: the tree that is measured, as a commit.")
 @click.option("--json", "as_json", is_flag=True, help="The report as one JSON object.")
 @click.option("--report", "path", type=click.Path(dir_okay=False, path_type=Path), help="Keep the report here.")
 @click.pass_context
-def scale(ctx: click.Context, /, as_json: bool, path: Path | None, **words: Any) -> None:
+def scale(ctx: click.Context, /, as_json: bool, path: Path | None, label: str, **words: Any) -> None:
     """Run real ingresses beside hollow ones, with changes of control, and measure what control costs each.
 
     Exit codes: 0 every bound asked for holds; 1 one does not, or the checker found a fault; 2 the run is void."""
@@ -91,6 +92,7 @@
     )
     plan = plan_from(words)
     told = {
+        "label": label,
         "command": " ".join(["dockthread", *sys.argv[1:]]),
         "started": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
     }
--- a/dockthread/lab/scale/hollow.py
+++ b/dockthread/lab/scale/hollow.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Any, Final, cast
@@ -43,6 +43,10 @@
             return api.WorkersListed(api.ListKind.CHANGES, ())
         return super().apply(message, cached)
 
+    def parts(self, message: Any) -> Iterator[api.WorkersListed]:
+        if self.alter is None or (message := self.alter(message)) is not None:
+            yield from super().parts(message)
+
 
 @dataclass(frozen=True, slots=True)
 class Shared:
--- a/dockthread/lab/scale/witness.py
+++ b/dockthread/lab/scale/witness.py
@@ -14,6 +14,7 @@
 from dockthread.net.destination_set import DestinationSet
 
 Row = list[Any]  # of a backend: uid, endpoint, whether it may be sent to, weight; of a route: name, version
+MOST_COMPARED = 100  # entries of one message: more are a part of a long list, not changes
 
 
 class InForce:
@@ -53,7 +54,7 @@
     def come_to(self, revision: int) -> None:
         """All up to this revision is in force."""
         self.messages += 1
-        if not self._informed:
+        if not self._informed and revision > 0:  # 0 while the first list comes in parts
             self._informed, self.informed_at = True, time.monotonic()
         if revision < self._revision:
             self.revisions += [self._revision, revision]
@@ -68,7 +69,7 @@
 
     def __init__(self, number: int, in_force: InForce, reached: int = 0) -> None:
         super().__init__(number, in_force, reached)
-        self._held: dict[int, float] = {}  # weights by worker, of those changed in the present life
+        self._held: dict[int, float] = {}  # weights by worker, of what changed in the present life
 
     def new_life(self, first: bool) -> None:
         super().new_life(first)
@@ -76,7 +77,7 @@
 
     def heard(self, revision: int, gateway: Gateway, listed: api.WorkersListed | None = None) -> None:
         """The module has been told a list, or changes, up to this revision; `listed` where they are at hand."""
-        if listed is not None and listed.kind is api.ListKind.CHANGES:
+        if listed is not None and listed.kind is api.ListKind.CHANGES and len(listed.entries) <= MOST_COMPARED:
             for entry in listed.entries:
                 self._compare(entry.worker, gateway)
         self.come_to(revision)
