Fit scale runs over routes and distributors, and over the bytes of configuration

Change: routes and distributors are sizes of a fit, and the bytes of configuration, the memory before the list and a voter's bytes are among its figures; reports without a size count it as 0.

--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -138,7 +138,7 @@
 @scale.command()
 @click.argument("reports", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--at", default="", callback=quantity(at_size), metavar="SIZE=N,...", help="Extrapolate to this size.")
-@click.option("--terms", default="ingresses,backends,changes,configuration", show_default=True,
+@click.option("--terms", default="ingresses,backends,changes,configuration,routes", show_default=True,
               help="Of the line; products as backends*changes.")  # fmt: skip
 @click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
 def fit(reports: tuple[Path, ...], at: dict[str, float], terms: str, as_json: bool) -> None:
--- a/dockthread/lab/scale/fit.py
+++ b/dockthread/lab/scale/fit.py
@@ -16,13 +16,22 @@
 )
 FAR: Final = 4.0  # times the largest size measured, beyond which an extrapolation is marked
 SINGULAR: Final = 1e-9  # of a scaled pivot
-SIZES: Final = {"ingresses": "ingresses", "backends": "backends", "changes": "list_changes_s",
-                "configuration": "configuration_changes_s"}  # fmt: skip
+SIZES: Final = {
+    "ingresses": "ingresses",
+    "backends": "backends",
+    "changes": "list_changes_s",
+    "configuration": "configuration_changes_s",
+    "routes": "routes",
+    "distributors": "distributors",
+}
 FIGURES: Final = (
     "each.hollow.cpu_quiet_percent",
     "each.hollow.cpu_percent",
+    "each.hollow.rss_before_list_mb",
     "each.hollow.rss_mb",
     "each.hollow.bytes_in_s",
+    "each.hollow.configuration_bytes_in_s",
+    "each.hollow.configuration_bytes_out_s",
     "each.real.cpu_percent",
     "each.real.rss_mb",
     "roles.discovery.cpu_percent",
@@ -33,6 +42,7 @@
     "roles.distributor.bytes_out_s",
     "roles.voter.cpu_percent",
     "roles.voter.rss_mb",
+    "roles.voter.bytes_out_s",
     "list.lag_ms.p50",
     "list.lag_ms.last",
     "list.whole_list_s",
@@ -80,7 +90,7 @@
 
 
 def size_of(report: dict[str, Any]) -> dict[str, float]:
-    return {name: float(report["size"][key]) for name, key in SIZES.items()}
+    return {name: float(report["size"].get(key, 0.0)) for name, key in SIZES.items()}
 
 
 def value_of(term: str, size: dict[str, float]) -> float:
