Bound the workers weighed in a round, and forget the places of idle connections

Where all 24,000 backends start at once, or thousands have failed of late, every round of housekeeping weighed each of them anew; a failure of one in 200 requests at 200 a second keeps some 3,000 workers fading at 400 gateways.

The pool keeps those that fail and those that warm up apart. A round weighs 1,024 of them at the most, in turn, and in a list of more than 1,024 places a failed part below a thousandth is none, ten halvings after it was whole in place of 60.

--- a/benchmarks/list_size.py
+++ b/benchmarks/list_size.py
@@ -176,6 +176,16 @@
     }
 
 
+def all_answered(module: Module) -> dict[str, float]:
+    """What is remembered of each once all have answered with a load report, in MB beyond what was before."""
+    before = resident()
+    for number, worker in enumerate(module.gateway.workers.values()):
+        worker.took(1.0 + number / 1e6)
+        worker.hear((number % 9 + 0.5, number / 7, 1.25), number / 11, module.now + number / 1e6)
+        worker.answered = module.now + number / 1e6
+    return {"answered_mb": resident() - before}
+
+
 def measure(size: int) -> dict[str, float]:
     gc.collect()
     bare = resident()
@@ -192,6 +202,7 @@
     gc.collect()
     figures["list_mb"] = resident() - bare
     figures |= changes(module, destinations, size) | quiet(module, destinations) | decisions(module)
+    figures |= all_answered(module)
     figures["bare_mb"], figures["end_mb"] = bare, resident()
     figures["peak_mb"] = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1000
     return figures
--- a/dockthread/module/mail.py
+++ b/dockthread/module/mail.py
@@ -90,7 +90,7 @@
         """On average as many messages as this gateway could take in itself; news before beats."""
         self.stock = min(STOCK * self.intake, self.stock + self.intake * (self.now - self.mailed))
         self.mailing, self.mailed = False, self.now
-        bad = [w for w in self.pool.restless.values() if w.failed > NOTED]
+        bad = [w for w in self.pool.failing.values() if w.failed > NOTED]
         bad.sort(key=lambda w: w.place)  # as they were listed
         suspects = [(w.code, w.failed) for w in self.rng.sample(bad, min(MOST_TOLD, len(bad)))]
         for peer in sorted(self.mail, key=lambda p: not self.mail[p]):
--- a/dockthread/module/pool.py
+++ b/dockthread/module/pool.py
@@ -2,11 +2,12 @@
 
 Theory of operation. A worker keeps a place in the order of the list for as long as it is known, and weighs nothing
 while nothing may be sent there, so that a change of the list touches one place. A share moves by itself only while
-its worker warms up or has failures that fade: those few are kept apart (`restless`) and weighed anew at each round of
-housekeeping; the others stay as they are. The running sums, by which `random.choices` draws with a binary search, are
-summed up again by a round that moved anything, and between rounds by one change in `SLOTS_PER_CHANGE` places: at once
-in a list of up to that many, where it costs little, and in a longer one so seldom that a change costs the same in it.
-Until then a longer list is drawn from by slightly old shares; readiness is always read off the worker.
+its worker warms up or has failures that fade: those few are kept apart and weighed anew at each round of housekeeping
+(were they most of a long list, some of them in turn); the others stay as they are. The running sums, by which
+`random.choices` draws with a binary search, are summed up again by a round that moved anything, and between rounds by
+one change in `SLOTS_PER_CHANGE` places: at once in a list of up to that many, where it costs little, and in a longer
+one so seldom that a change costs the same in it. Until then a longer list is drawn from by slightly old shares;
+readiness is always read off the worker.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 
 SLOTS_PER_CHANGE = 1024  # places for each of which one change has all sums made anew, about 20 us
 FADED = 1e-18  # a failed part below this changes no sum with 1 in double precision: it is none
+FADED_OF_MANY = 1e-3  # the same in a long list, where one rests after ten halvings and not after 60
+MOST_WEIGHED = 1024  # workers weighed anew in one round: some 3 ms
 SCANNED = 1024  # workers that are looked through for a few; of more, so many drawn evenly are, a quarter of it
 MOST_DRAWN = 64  # candidates of a long list: the best of so many is as good as one in 64, and more cost 4 us each
 TRIES = 4  # draws from all for one of a part of them
@@ -113,7 +116,9 @@
         self._weighed = 0  # since the sums were made
         self._due = False  # a round of housekeeping went by since
         self.rounds = Rounds()
-        self.restless: dict[int, Worker] = {}
+        self.failing: dict[int, Worker] = {}  # with failures that fade
+        self.cold: dict[int, Worker] = {}  # ready ones that warm up
+        self._turn = 0  # the next of these to be weighed, where they are too many for a round
         self.sound = 1.0  # mean part of the ready ones' outcomes that were no failures
         self.warm = False  # whether a ready one is warm
         self.visits = 0  # workers looked at one by one, ever: the work that changes and housekeeping make
@@ -164,7 +169,7 @@
 
     def forget(self, worker: Worker) -> None:
         """One that is not ready, and will not be again."""
-        self.restless.pop(worker.entry.worker, None)
+        self.failing.pop(worker.entry.worker, None)
         self._leave_cell(worker)
         self._vacant += 1
         worker.place = -1
@@ -179,7 +184,6 @@
             self._leave_cell(worker)
             self._cells.setdefault((entry.zone, entry.cell), {})[entry.worker] = worker
         worker.entry, worker.ready = entry, ready
-        self.restless[entry.worker] = worker
         self._weigh(worker)
 
     def _leave_cell(self, worker: Worker) -> None:
@@ -192,9 +196,9 @@
         """A round of housekeeping: these parts are left of what is known of failures, and of answer times."""
         self._due = True
         self.rounds.end(paces)
-        for worker in self.restless.values():
-            worker.fade(failures, FADED)
-        self.visits += len(self.restless)
+        least = FADED if len(self._slots) <= SCANNED else FADED_OF_MANY
+        for worker in self.failing.values():
+            worker.fade(failures, least)
 
     def refresh(self) -> None:
         """Weigh anew and sum up, if it is time."""
@@ -203,28 +207,38 @@
         self._due = False
         if self._vacant > len(self._slots) * VACANT_PART:
             self._close_up()
-        cold, failed = 0, 0.0
-        for worker in list(self.restless.values()):
-            warm = self._weigh(worker)
-            if worker.ready:
-                cold += not warm
-                failed += worker.failed
+        for worker in self._moving():
+            self._weigh(worker)
         if self._weighed:
             self._weighed, self._sums = 0, array("d", accumulate(self._shares))
+        failed = sum(worker.failed for worker in self.failing.values() if worker.ready)
         self.sound = (self._ready - failed) / max(1, self._ready)
-        self.warm = self._ready > cold
-
-    def _weigh(self, worker: Worker) -> bool:
-        """Whether it is warm. One with nothing that moves by itself is visited no more."""
+        self.warm = self._ready > len(self.cold)
+
+    def _moving(self) -> list[Worker]:
+        """Those whose shares move by themselves; where these are too many, the next of them."""
+        moving = list(self.failing.values())
+        moving += [worker for number, worker in self.cold.items() if number not in self.failing]
+        if len(moving) <= MOST_WEIGHED:
+            return moving
+        at = self._turn % len(moving)
+        self._turn = at + MOST_WEIGHED
+        return (moving + moving[:MOST_WEIGHED])[at : at + MOST_WEIGHED]
+
+    def _weigh(self, worker: Worker) -> None:
+        """One with nothing that moves by itself is visited no more."""
         self.visits += 1
+        number = worker.entry.worker
         share = self._share(worker) if worker.ready else 0.0
-        warm = not worker.ready or self._warmth(worker) >= 1.0
+        if worker.ready and self._warmth(worker) < 1.0:
+            self.cold[number] = worker
+        else:
+            self.cold.pop(number, None)
+        if not worker.failed:
+            self.failing.pop(number, None)
         if share != self._shares[worker.place]:
             self._shares[worker.place] = share
             self._weighed += 1
-        if warm and not worker.failed:
-            del self.restless[worker.entry.worker]
-        return warm
 
     def _close_up(self) -> None:
         self._slots = [worker for worker in self._slots if worker.place >= 0]
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -83,7 +83,7 @@
     def failed(self, part: float) -> None:
         self._failed = part
         if part and self.place >= 0:
-            self.pool.restless[self.entry.worker] = self
+            self.pool.failing[self.entry.worker] = self
 
     def fade(self, part: float, least: float) -> None:
         """This part is left of its failures; below `least` none."""
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -162,9 +162,11 @@
     def sweep(self) -> None:
         """Close connections well before the backend does: a call that crosses its close ends as a reset."""
         oldest = self._clock.now() - self._keep
-        for idle in self._idle.values():
+        for worker, idle in list(self._idle.items()):
             while idle and idle[0].idle_since < oldest:
                 self._drop(idle.popleft())
+            if not idle:  # else each backend ever sent to is looked at for ever, and takes 600 bytes
+                del self._idle[worker]
 
     def shed(self) -> bool:
         """Close the connection that has been idle longest; False where none is idle."""
--- a/tests/test_list_size.py
+++ b/tests/test_list_size.py
@@ -11,11 +11,13 @@
 import pytest
 
 from dockthread import api
+from dockthread.clock import ManualClock
 from dockthread.module.api import Group, ListKind, Outcome, WorkerState
-from dockthread.module.pool import SCANNED, SLOTS_PER_CHANGE
+from dockthread.module.pool import MOST_WEIGHED, SCANNED, SLOTS_PER_CHANGE
+from dockthread.net import outbound
 from dockthread.net.destination_set import PART, DestinationSet, Target, WatchError
 from dockthread.net.watch import MOST_OBJECT, MOST_UNREAD, WatchParser
-from tests.loopback import message, target
+from tests.loopback import Backend, message, run, serving, target, until
 from tests.test_parsers import HEAD, chunks, destinations
 from tests.test_rules import BASE, KEYED, SAFE, Drive
 
@@ -54,10 +56,27 @@
     drive.end(request, 0, Outcome.ERROR)
     drive.end(request, 1, Outcome.OK)
     drive.run(drive.now + 5)
-    assert len(pool.restless) == 6
+    assert (len(pool.failing), len(pool.cold)) == (1, 5)
     assert pool.visits - before <= 6 * 2 * (5 / 0.25 + 2)
     drive.run(drive.now + 6)
-    assert len(pool.restless) == 1, "warm by now"
+    assert not pool.cold, "warm by now"
+    assert pool.failing
+    drive.run(drive.now + 60 * 10)
+    assert not pool.failing, "in a long list failures rest at a thousandth"
+
+
+def test_where_all_warm_up_at_once_a_round_weighs_some_and_each_has_its_turn() -> None:
+    drive = Drive(replace(BASE, gateways=400, may_tell=False), workers=0)
+    drive.listed(*(entry(n, started=drive.now) for n in range(MANY)), kind=ListKind.FULL)
+    pool = drive.gateway.pool
+    drive.run(drive.now + 1)
+    assert not pool.warm
+    before = pool.visits
+    drive.run(drive.now + 1)
+    assert 0 < pool.visits - before <= 5 * MOST_WEIGHED
+    drive.run(drive.now + 10 + MANY / MOST_WEIGHED * 0.25)
+    assert pool.warm and not pool.cold
+    assert len({w.place for w in pool.draw(random.Random(1), 64)}) > 50
 
 
 def test_a_lost_zone_is_drawn_from_no_more_and_forgotten() -> None:
@@ -233,3 +252,21 @@
     drive.give(held)
     assert known.avoided == 1
     assert len(drive.gateway.pool) == 2 * PART
+
+
+def test_a_long_list_from_discovery_is_taken_and_served_by_and_what_left_costs_nothing_more() -> None:
+    async def scenario() -> None:
+        backend, clock = Backend(), ManualClock()
+        async with serving(backend, clock=clock) as (ingress, client, discovery):
+            port = int(backend.server.sockets[0].getsockname()[1])
+            targets = [target(f"s-{n:021x}", port) for n in range(3 * PART)]
+            discovery.push(message(2, *targets, full=True))
+            await until(lambda: ingress.destinations.revision == 2)
+            assert ingress.destinations.listed == 3 * PART
+            assert [await client.call() for _ in range(5)] == [b"value"] * 5
+            assert ingress.outbound._idle
+            clock.advance(15_000 * outbound.IDLE_PART + 1)
+            ingress.outbound.sweep()
+            assert not ingress.outbound._idle, "one place for each backend ever called would stay"
+
+    run(scenario())
