--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import random
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 
 from dockthread.module import api
-from dockthread.module.belief import Kin, Pace
+from dockthread.module.belief import KindStats, Pace
 from dockthread.module.ledger import Store
 from dockthread.module.message import Report, whole, worker_code
 from dockthread.module.pool import Pool
 
 NEVER = -1e9  # a time long ago
+DOUBLE = 8  # bytes of a figure that is kept packed
 REPORT_HALF, MEAN_HALF = 0.4, 8.0  # s in which a report's news halves; in which what was smoothed before does
 TIDY, KEPT = 2.0, 30.0  # s between rounds of forgetting; for which a worker that is gone is kept
 NOT_FULL: dict[int, float] = {}  # of every worker that never turned a request away; never written to
@@ -48,16 +50,16 @@
     """One listed worker. There may be tens of thousands: what most never have is made when it is first needed."""
 
     __slots__ = (
-        "_failed", "_times", "answered", "entry", "fresh", "full_for", "full_until", "gone", "kin", "others",
-        "others_mean", "out", "place", "pool", "ready", "report", "report_at", "spare", "spare_at",
+        "_failed", "_report", "_times", "answered", "entry", "fresh", "full_for", "full_until", "gone", "kind",
+        "others", "others_mean", "out", "place", "pool", "ready", "report_at", "spare", "spare_at",
     )  # fmt: skip
 
-    def __init__(self, entry: api.WorkerEntry, kin: Kin, pool: Pool) -> None:
-        self.kin = kin  # what is known of its kind
+    def __init__(self, entry: api.WorkerEntry, kind: KindStats, pool: Pool) -> None:
+        self.kind = kind  # what is known of its kind
         self.pool, self.place = pool, -1
         self.entry, self.ready, self.out = entry, False, 0  # attempts out, late ones too
         self.gone = inf  # since when it is not listed
-        self.report: tuple[float, ...] = ()  # the last load report, since when it is known
+        self._report = b""
         self._clear()
         self.fresh = bool(entry.started)  # it started not long ago: empty, until it says otherwise
 
@@ -83,7 +85,12 @@
     def failed(self, part: float) -> None:
         self._failed = part
         if part and self.place >= 0:
-            self.pool.restless[self.entry.worker] = self
+            self.pool.failing[self.entry.worker] = self
+
+    @property
+    def report(self) -> tuple[float, ...]:
+        """The last load report, known since `report_at`. It is kept packed: as floats it takes thrice as much."""
+        return struct.unpack(f"{len(self._report) // DOUBLE}d", self._report)
 
     def fade(self, part: float, least: float) -> None:
         """This part is left of its failures; below `least` none."""
@@ -94,14 +101,14 @@
     @property
     def pace(self) -> float:
         """Answer time, in usual ones of its class."""
-        return self.kin.pace if self._times is None else self._times.believed(self.kin)
+        return self.kind.pace if self._times is None else self._times.believed(self.kind)
 
     def took(self, pace: float) -> None:
         """An answer's time, in usual ones of its class."""
         if self._times is None:
             self._times = Pace(self.pool.rounds)
         self._times.answered(pace)
-        self.kin.answered(pace)
+        self.kind.answered(pace)
 
     def full(self, plan: int, until: float) -> None:
         """It has no room for a plan."""
@@ -112,16 +119,17 @@
     def hear(self, report: tuple[float, ...], others: float | None, now: float) -> None:
         """Take over a new load report, that tells of `others` here; None where it tells nothing."""
         if others is not None:
-            gap, self.report, self.report_at = now - self.report_at, report, now
+            gap, self.report_at = now - self.report_at, now
+            self._report = struct.pack(f"{len(report)}d", *report)
             self.others = others
             # By time, not by report: where they are seldom, one says as much as many do.
             self.others_mean += (1 - 0.5 ** (gap / MEAN_HALF)) * (self.others - self.others_mean)
-            self.kin.reported(self.others)
+            self.kind.reported(self.others)
 
     def load(self, now: float) -> float:
         """Requests there: the own ones out, and others by a report that says the less, the older it is."""
         if self.report_at == NEVER:  # else those not met yet would draw all
-            return self.out + (0.0 if self.fresh else self.kin.others)
+            return self.out + (0.0 if self.fresh else self.kind.others)
         weight: float = 0.5 ** ((now - self.report_at) / REPORT_HALF)
         return self.out + self.others_mean + weight * (self.others - self.others_mean)
 
@@ -186,7 +194,7 @@
         self.held: dict[int, None] = {}  # requests for which there is no worker now
         self.owner: dict[tuple[int, int], int] = {}  # customers of the attempts out
         self.workers: dict[int, Worker] = {}
-        self.kin: dict[int, Kin] = {}  # by kind
+        self.kinds: dict[int, KindStats] = {}  # by the number of the kind
         self.codes: dict[bytes, Worker] = {}
         self.kept = settings.conn_idle * api.IDLE_PART  # for which a connection may stand idle
         self.leaving: dict[int, Worker] = {}  # those that are not listed any more
@@ -213,8 +221,8 @@
     def known(self, entry: api.WorkerEntry) -> Worker:
         """The worker of an entry, a new one for a number never listed before."""
         if (w := self.workers.get(entry.worker)) is None:
-            kin = self.kin.setdefault(entry.kind, Kin())
-            w = self.workers[entry.worker] = Worker(entry, kin, self.pool)
+            kind = self.kinds.setdefault(entry.kind, KindStats())
+            w = self.workers[entry.worker] = Worker(entry, kind, self.pool)
             self.pool.add(w)
             if self.s.may_tell:
                 self.codes[w.code] = w
