Mark a scale run void whose changes of configuration were not accepted

Cause: a change that no voter accepted was only counted in the report, so that a run with fewer changes than asked for passed as measured; the load average was taken at its end alone.

Change: such a run is void and says why; reports hold the load average of both ends and whether all was in force in time.

--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -96,6 +96,7 @@
         "command": " ".join(["dockthread", *sys.argv[1:]]),
         "started": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
     }
+    before = os.getloadavg()
     try:
         with TemporaryDirectory() as folder:
             run = Run(plan, Path(folder))
@@ -103,7 +104,11 @@
         report = report_of(run, bounds)
     except (ProcessError, Gone, OSError) as error:
         report = {"void": [str(error)], "verdict": "void"}
-    report = {**told, "machine": {"cores": os.cpu_count(), "load_average": os.getloadavg()}, **report}
+    report = {
+        **told,
+        "machine": {"cores": os.cpu_count(), "load_average": os.getloadavg(), "load_average_before": before},
+        **report,
+    }
     if path is not None:
         path.write_text(json.dumps(report, indent=1) + "\n")
     if as_json:
--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -190,6 +190,8 @@
     for log in (run.log, run.routes_log):
         if (late := quantile(log["late_starts"], 0.99)) > bounds.late:
             why.append(f"the tool fell behind: one change in a hundred was published {late:.0f} ms late or more")
+    if refused := run.routes_log["refused"]:
+        why.append(f"{len(refused)} changes of the configuration were not accepted, the first: {refused[0]}")
     rates = {"list": run.plan.changes.list_rate, "configuration": run.plan.changes.configuration_rate}
     for kind, rate in rates.items():
         if rate and math.isfinite(bounds.lag):
@@ -257,6 +259,7 @@
     if plan.distributes:
         control = [one["configuration"] for one in run.findings]
         broken += judge(published_routes(run.routes_log["changes"]), control, plan.ingresses)
+    report["settled"] = run.settled
     report["checker"] = {"broken": len(broken), "first": broken[:MOST_NAMED]}
     report["bounds"] = judged(report, bounds)
     report["void"] = voids(run, report, bounds)
