--- a/dockthread/module/pool.py
+++ b/dockthread/module/pool.py
@@ -99,6 +99,11 @@
         return [worker for worker in self._pool.some(rng) if self._fits(worker.entry)]
 
 
+def _summed(shares: array[float]) -> array[float]:
+    """The running sums. By way of lists, which takes two thirds of the time of an array by itself."""
+    return array("d", list(accumulate(shares.tolist())))
+
+
 NOBODY = Subset([], lambda worker: 0.0)
 
 
@@ -210,7 +215,7 @@
         for worker in self._moving():
             self._weigh(worker)
         if self._weighed:
-            self._weighed, self._sums = 0, array("d", accumulate(self._shares))
+            self._weighed, self._sums = 0, _summed(self._shares)
         failed = sum(worker.failed for worker in self.failing.values() if worker.ready)
         self.sound = (self._ready - failed) / max(1, self._ready)
         self.warm = self._ready > len(self.cold)
@@ -245,4 +250,4 @@
         self._shares = array("d", [self._shares[worker.place] for worker in self._slots])
         for place, worker in enumerate(self._slots):
             worker.place = place
-        self._vacant, self._sums = 0, array("d", accumulate(self._shares))
+        self._vacant, self._sums = 0, _summed(self._shares)
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -16,7 +16,7 @@
     "leaving": api.WorkerState.DRAINING,
     "left": api.WorkerState.GONE,
 }
-PART = 2_000  # entries that are taken over and told at once: some 20 ms
+PART = 1_000  # entries that are taken over and told at once: some 10 ms
 KEPT = 60_000.0  # for which a destination that is gone is known: no call to it can be out by then
 
 
