Know every change 6 s after discovery can be reached, at any size of fleet

Cause: `Backoff` had no end in seconds where lists are asked for, a silent call was counted from its last byte and stayed open for such a pause, and half an object was waited for 6 s before the next call.

Change: pauses and silent calls end within a window of 5 s, the rest of the bound is the next call's; watches given up are followed within 1 s. The pauses run on the ingress's clock, so that tests set them.

--- a/dockthread/module/backoff.py
+++ b/dockthread/module/backoff.py
@@ -8,8 +8,10 @@
 then on, the sum over it is about 1 / PART new calls a second, then half, then a quarter of it. A start and the loss
 of a watch that stood cannot wait that long: what the agent has meanwhile counts as told, and a node that drains may
 be sent to for only so long after it. They draw from `hurry`, and those that the service turns away then are spread
-over the long pauses. Where each ingress asks an agent of its own, nobody waits for the others: there no pause is
-longer than `longest`.
+over the long pauses. No pause is longer than `longest`: some time after discovery can be reached its news counts as
+told, whatever it could serve. A fleet whose ends would lie beyond asks at an even rate over that time, each ingress
+once in half of it on average, and a service that cannot answer them all in it turns the rest away as it did before.
+Where each ingress asks an agent of its own, nobody waits for the others, and `longest` is shorter still.
 """
 
 from __future__ import annotations
@@ -35,9 +37,9 @@
         """Before the first call of a life, and after the loss of what was held."""
         return self._rng.uniform(0.0, self._hurry)
 
-    def again(self) -> float:
-        """After one more call in a row that failed."""
-        end = min(self._longest, self.first * min(MOST, 2.0**self._failures))
+    def again(self, most: float = inf) -> float:
+        """After one more call in a row that failed, and `most` at the most."""
+        end = min(most, self._longest, self.first * min(MOST, 2.0**self._failures))
         self._failures = min(self._failures + 1, 30)
         return max(LEAST, self._rng.uniform(0.0, end))
 
--- a/dockthread/net/watch.py
+++ b/dockthread/net/watch.py
@@ -1,12 +1,17 @@
 """The watch on discovery that keeps the destination set current.
 
-Theory of operation. Where lists are pushed, an agent on this machine answers each call at once and at no cost with
-what it has been sent, and what it has counts as told to this ingress, watch or not, from the first moment of a
-process. So no call waits there for longer than the time in which news must be known: the first goes at the start, and
-until it is answered, or half of a drain's grace is over, nothing is sent by the old list that lay in the
-configuration; one that fails or is not answered is followed by the next within as much. Where lists are asked for,
-discovery is one service for all ingresses: there the pauses grow with the fleet (module/backoff.py), and a call that
-was never answered stays open for the pause that would follow it, as giving it up would be work for nothing.
+Theory of operation. Whatever a call met, a change counts as told `BOUND` after discovery had it and could be reached,
+and a watch that has fallen silent is broken `BOUND` after its last word. So no pause and no silent call lasts longer
+than `WINDOW`, which leaves `ANSWER` for the call that brings the change, and pauses are drawn from all of it. A call
+that was never answered stays open through the pause that would follow it, and the next one goes at its end: giving it
+up early would be work for nothing, and a service that answers in turn would answer nobody once that takes longer than
+all callers wait.
+
+Where lists are asked for, discovery is one service for all ingresses: there the pauses grow with the fleet, up to the
+window (module/backoff.py). Where lists are pushed, an agent on this machine answers each call at once and at no cost
+with what it has been sent, and what it has counts as told to this ingress, watch or not, from the first moment of a
+process. So no pause is longer there than half of a drain's grace either: the first call goes at the start, and until
+it is answered, or that time is over, nothing is sent by the old list that lay in the configuration.
 """
 
 from __future__ import annotations
@@ -14,8 +19,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterator
-from contextlib import suppress
-from math import inf
 from typing import Any
 
 import httptools
@@ -30,9 +33,14 @@
 from dockthread.settings import Address
 
 MOST_OBJECT = 4 * 1024 * 1024  # bytes of one object of a watch
+BOUND = 6_000.0  # after discovery had a change and could be reached, or a watch fell silent, it counts as told
+ANSWER = 1_000.0  # of it, for the call that brings the change: found due in a round of housekeeping, made, answered
+WINDOW = BOUND - ANSWER  # for a pause, or a call without an answer
 SILENCE = 3_500.0  # a watch says something every 2 s; one silent for longer is dead
+HALF = 4_000.0  # for an object that has begun to be whole
+PATIENCE = 4_500.0  # for the first word of a call, where lists are asked for: it may wait behind those of the fleet
+SOON = WINDOW - HALF  # for the pause after a watch that was given up, at the most
 LEAST_PAUSE = 100.0  # between calls on an agent that refuses them
-HALF = 6_000.0  # for an object that has begun to be whole: from then on what it holds counts as told
 
 
 class WatchParser:
@@ -100,20 +108,26 @@
     ) -> None:
         self._pushed = not settings.must_ask_for_list
         self._hurry = settings.safety.drain_grace * 1000.0 / 2
-        longest = max(self._hurry, LEAST_PAUSE) if self._pushed else inf
-        self._backoff = Backoff(random.Random(seed), settings.gateways, self._hurry, longest)
+        self._patience = SILENCE if self._pushed else PATIENCE
+        longest = min(WINDOW, max(self._hurry, LEAST_PAUSE)) if self._pushed else WINDOW
+        self._backoff = Backoff(random.Random(seed), settings.gateways, min(self._hurry, SOON), longest)
         self._cached: api.WorkersListed | None = None  # the old list, while a newer one may come at once
         self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
-        self._heard = self._whole = clock.now()  # when it last said something; and left nothing half said
+        # When the present call began; it last said something; and it left nothing half said.
+        self._began = self._heard = self._whole = clock.now()
         self._attempt: asyncio.Task[None] | None = None
-        self._moved = asyncio.Event()
+        self._at: Callable[..., None] = lambda due, then: None
+        self._moved = False  # since the present call began
+        self._pause_over = asyncio.Event()
         self._failures = 0
         self._stood = False  # the present watch has said something
         self._given_up = 0.0  # when one that has said nothing yet is, once it has been silent for long; 0 before
         self.observer = Observer()
 
     def begin(self, known: Any, at: Callable[..., None]) -> None:
-        """Start from the list that lay in the configuration. Raises WatchError where it is malformed."""
+        """Start from the list that lay in the configuration; `at` times what comes later. Raises WatchError where
+        the list is malformed."""
+        self._at = at
         self._cached = self._destinations.apply(known, cached=True)
         if self._pushed and self._hurry:
             at(self._clock.now() + self._hurry, self._use_cached)
@@ -133,27 +147,27 @@
     def move(self, address: Address) -> None:
         """Watch discovery at another address, and at once: the old one soon falls silent."""
         if address != self._address:
-            self._address = address
-            self._moved.set()
+            self._address, self._moved = address, True
+            self._pause_over.set()
             if self._attempt is not None:
                 self._attempt.cancel()
 
     async def _pause(self, ms: float) -> None:
         """Cut short by a move: the old address says nothing more."""
-        with suppress(TimeoutError):
-            await asyncio.wait_for(self._moved.wait(), ms / 1000.0)
+        over = self._pause_over = asyncio.Event()
+        self._at(self._clock.now() + ms, over.set)
+        await over.wait()
 
     async def run(self) -> None:
         if self._destinations.by_worker and not self._pushed:  # what it knows serves meanwhile
             await self._pause(self._backoff.soon())
         while True:
-            self._heard = self._whole = self._clock.now()
-            self._stood = False
-            self._moved.clear()
+            self._began = self._heard = self._whole = self._clock.now()
+            self._stood = self._moved = False
             self.observer.event("watch", after=self._destinations.revision)
             self._attempt = asyncio.create_task(self._watch())
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
-            if self._moved.is_set():
+            if self._moved:
                 self._given_up = 0.0
                 continue
             waited, self._given_up = self._given_up > 0, 0.0
@@ -170,10 +184,14 @@
         vanished, which TCP does not tell. A call that was never answered stays open for the pause that would follow
         it, and the next one goes at its end."""
         now = self._clock.now()
-        if self._attempt is None or (now - self._heard <= SILENCE and now - self._whole <= HALF):
+        if self._stood:
+            silent = now - self._heard > SILENCE or now - self._whole > HALF
+        else:  # a head without a list is no answer
+            silent = now - self._began > self._patience
+        if self._attempt is None or not silent:
             return
         if not self._stood and not self._given_up:
-            self._given_up = now + self._backoff.again()
+            self._given_up = now + self._backoff.again(self._began + WINDOW - now)
         if now >= self._given_up:
             self._attempt.cancel()
 
@@ -200,7 +218,7 @@
                         logger.info("watch on discovery is back at {}", self._destinations.revision)
                         self._failures = 0
                 if parser.stood and not self._stood:
-                    self._stood = True
+                    self._stood, self._given_up = True, 0.0
                     self._backoff.reset()
                 if not parser.half:
                     self._whole = self._heard
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -100,14 +100,16 @@
         async with serving(Backend(), clock=clock) as (ingress, _, discovery):
             discovery.push(message(2, target("s-1", 1)))
             discovery.writers[-1].write(b'9\r\n{"rev":3,\r\n')
-            for second in range(7):
+            for second in range(5):
                 heard = ingress.watch._heard
                 clock.advance(1_000)
                 discovery.writers[-1].write(b"1\r\n\n\r\n")
                 await until(partial(said, ingress, heard))
                 ingress.watch.check()
                 await asyncio.sleep(0)
-                assert len(discovery.paths) == 1 or second == 6
+                assert len(discovery.paths) == 1 or second == 4
+            clock.advance(GRACE / 2)  # and a pause: within 6 s all in all
+            ingress.timers.run()
             await until(lambda: len(discovery.paths) == 2)
             assert discovery.paths[-1].endswith(b"after=2")
 
@@ -120,6 +122,8 @@
         clock, other = ManualClock(), Discovery()
         asks = settings(ReplicasOfMe=200, Discovery="subscribe")  # a pause of up to 25 s
         async with serving(Backend(), clock=clock, refuses=refuses, wait=False, **asks) as (ingress, _, first):
+            clock.advance(GRACE / 2)  # the pause at a start
+            ingress.timers.run()
             await until(lambda: first.paths and bool(refuses) == (ingress.watch._failures > 0))
             ingress.watch.move(Address("127.0.0.1", await other.start()))
             await asyncio.wait_for(until(lambda: other.paths), 2)
