Read the cache a record at a time, and keep its tombstones and horizon

Change: the file is in the order of revisions and read into the table a record at a time; the client hands it to the owner in slices; the commit tells the horizon.

--- a/dockthread/distribution/cache.py
+++ b/dockthread/distribution/cache.py
@@ -5,7 +5,8 @@
 history, or a file that has grown to a multiple of its state, is written anew beside and renamed into place. Records
 are written in slices, one a turn of the loop, and begun at most once in `interval`; nothing is synced to the disk, as
 sums and digest tell whatever a crash of the machine leaves. At a start what stands behind the last commit is cut off;
-any other fault drops the file.
+any other fault drops the file. Resources stand in the order of their revisions, deletes included; where a snapshot
+brought others, the file is written anew too.
 
 Where the owner refused a resource, a commit also names the one that it kept in its place.
 """
@@ -16,11 +17,11 @@
 import os
 import struct
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 from pathlib import Path
-from typing import Final
+from typing import BinaryIO, Final
 from urllib.parse import quote
 
 import msgspec
@@ -32,7 +33,7 @@
 VERSION: Final = 1
 SUM: Final = 16  # bytes
 RECORD: Final = struct.Struct(f"<I{SUM}s")
-MOST_FILE: Final = 512 << 20  # bytes
+MOST_RECORD: Final = 16 << 20  # bytes
 SLICE: Final = 256 << 10  # bytes of resources in one record
 HURRY: Final = 1 << 20  # bytes that wait, from which on no interval is waited for
 LEAST_REWRITE: Final = 4 << 20  # bytes appended before a file is written anew
@@ -53,11 +54,13 @@
 
     epoch: str
     revision: int
+    horizon: int
     digest: bytes
     kept: tuple[Resource, ...] = ()
 
 
 Record = Head | Part | Commit
+_COMMIT: Final = b"\x96\xa1c"  # how a commit begins: six fields, the first its tag
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
 
@@ -76,58 +79,69 @@
 
 
 def read(path: Path, name: str) -> Cached | None:
-    """The last state in a file; None where there is no file. Raises `BrokenCache`."""
+    """The last state in a file; None where there is no file. Raises `BrokenCache`. It is read twice, a record at a
+    time: first to check it and find its last commit, then into a table."""
     try:
         with path.open("rb") as file:
-            data = file.read(MOST_FILE + 1)
+            last, size = _last_commit(file, name)
+            file.seek(0)
+            return Cached(_table(file, last, size), last.kept, size)
     except FileNotFoundError:
         return None
     except OSError as error:
         raise BrokenCache(f"cannot be read: {error.strerror}") from error
-    if len(data) > MOST_FILE:
-        raise BrokenCache(f"holds more than {MOST_FILE} bytes")
-    held: dict[tuple[str, str], Resource] = {}
-    pending: list[Resource] = []
+
+
+def _last_commit(file: BinaryIO, name: str) -> tuple[Commit, int]:
+    """It, and where it ends."""
     last, size = None, 0
-    for number, (record, end) in enumerate(_records(data)):
-        if number == 0 and record != Head(VERSION, name):
+    for number, (body, end) in enumerate(_bodies(file)):
+        if number == 0 and _decode(body) != Head(VERSION, name):
             raise BrokenCache(f"is not that of {name} in version {VERSION}")
-        if isinstance(record, Part):
-            pending += record.resources
-        elif isinstance(record, Commit):
-            held.update(((one.kind, one.name), one) for one in pending)
-            pending, last, size = [], record, end
+        if body[:3] == _COMMIT and isinstance(record := _decode(body), Commit):
+            last, size = record, end
     if last is None:
         raise BrokenCache("holds no whole state")
-    return Cached(_table(last, held.values()), last.kept, size)
+    return last, size
 
 
-def _records(data: bytes) -> Iterable[tuple[Record, int]]:
-    """Records and where each ends. One cut short at the end is passed over."""
+def _bodies(file: BinaryIO) -> Iterator[tuple[bytes, int]]:
+    """Of records, and where each ends. One cut short at the end is passed over."""
     at = 0
-    while at + RECORD.size <= len(data):
-        size, told = RECORD.unpack_from(data, at)
-        end = at + RECORD.size + size
-        if end > len(data):
+    while len(head := file.read(RECORD.size)) == RECORD.size:
+        size, told = RECORD.unpack(head)
+        if size > MOST_RECORD:
+            raise BrokenCache(f"has a record of {size} bytes at byte {at}")
+        if len(body := file.read(size)) < size:
             return
-        body = data[at + RECORD.size : end]
         if blake2b(body, digest_size=SUM).digest() != told:
             raise BrokenCache(f"has a wrong sum at byte {at}")
-        try:
-            yield _decoder.decode(body), end
-        except msgspec.MsgspecError as error:
-            raise BrokenCache(f"holds no record at byte {at}: {error}") from error
-        at = end
+        at += RECORD.size + size
+        yield body, at
+
+
+def _decode(body: bytes) -> Record:
+    try:
+        return _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise BrokenCache(f"holds no record: {error}") from error
 
 
-def _table(last: Commit, held: Iterable[Resource]) -> ResourceTable:
-    """Without tombstones, so that whoever receives from it is told of no delete before `last`."""
+def _table(file: BinaryIO, last: Commit, size: int) -> ResourceTable:
+    """All up to the commit that ends at `size`."""
+
+    def resources() -> Iterator[Resource]:
+        for body, end in _bodies(file):
+            if isinstance(record := _decode(body), Part):
+                yield from record.resources
+            if end == size:
+                return
+
     table = ResourceTable()
-    live = sorted((one for one in held if one.body is not None), key=lambda one: one.revision)
     try:
-        table.load(last.epoch, last.revision, last.revision, live)
+        table.load(last.epoch, last.revision, last.horizon, resources())
     except OutOfOrder as error:
-        raise BrokenCache(f"holds two of one revision: {error}") from error
+        raise BrokenCache(f"is out of order: {error}") from error
     if table.digest != last.digest:
         raise BrokenCache(f"has another digest than it tells at revision {last.revision}")
     return table
@@ -141,7 +155,7 @@
         self._name, self._interval = name, interval / 1000.0
         self._queue: deque[Resource | FrozenTable | Commit] = deque()
         self._waiting = 0  # bytes in it
-        self._epoch = ""  # of the file
+        self._epoch, self._revision = "", 0  # of the file
         self._state = self._appended = 0  # bytes of the file when it was begun, and since
         self._file: int | None = None
         self._beside: Path | None = None  # the file that is being written, until its first commit
@@ -161,14 +175,14 @@
             try:
                 os.truncate(self.path, found.size)
                 self._file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
-                self._epoch, self._state = found.table.epoch, found.size
+                self._epoch, self._revision, self._state = found.table.epoch, found.table.revision, found.size
             except OSError as error:
                 self._fail(error)
         return found
 
-    def save(self, table: ResourceTable, changes: Iterable[Resource], kept: tuple[Resource, ...]) -> None:
+    def save(self, table: ResourceTable, changes: Sequence[Resource], kept: tuple[Resource, ...]) -> None:
         """`table` after `changes`, which are all since the last call."""
-        whole = self._epoch != table.epoch or self._file is None
+        whole = self._epoch != table.epoch or self._file is None or not _follow(self._revision, changes)
         if whole or self._appended > max(LEAST_REWRITE, GROWTH * self._state):
             self._begin(table.epoch)
             self._queue.append(table.freeze())
@@ -177,7 +191,8 @@
             for one in changes:
                 self._queue.append(one)
                 self._waiting += _size(one)
-        self._queue.append(Commit(table.epoch, table.revision, table.digest, kept))
+        self._queue.append(Commit(table.epoch, table.revision, table.horizon, table.digest, kept))
+        self._revision = table.revision
         if self._alarm is None:
             loop = asyncio.get_running_loop()
             due = 0.0 if self._waiting > HURRY else self._began + self._interval - loop.time()
@@ -270,5 +285,14 @@
         self._file = None
 
 
+def _follow(revision: int, changes: Iterable[Resource]) -> bool:
+    """Whether they come behind `revision` in their order; what differs in a snapshot does not."""
+    for one in changes:
+        if one.revision <= revision:
+            return False
+        revision = one.revision
+    return True
+
+
 def _size(one: Resource) -> int:
     return len(one.body or b"") + len(one.name)
--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -13,7 +13,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from itertools import islice
 from pathlib import Path
 from typing import Final, Protocol
@@ -24,6 +24,7 @@
 from dockthread.distribution.cache import Cache
 from dockthread.distribution.messages import MOST_FRAME, Heartbeat, Message, Rejection, Resource, Update
 from dockthread.distribution.options import ControlOptions
+from dockthread.distribution.resources import ResourceTable
 from dockthread.distribution.stream import FrameStream
 from dockthread.distribution.subscriber import (
     Action,
@@ -38,6 +39,7 @@
 from dockthread.settings import Address
 
 SLICE: Final = 16  # resources that an owner is handed at once
+RESTORED: Final = 1024  # at once from the cache, when nothing else has to go on yet
 MOST_BATCHES: Final = 4  # that wait for the owner before reading stops
 LEAST_WAIT: Final = 0.01  # s: no timer is finer
 MOST_REASON: Final = 500  # characters of a rejection's reason
@@ -110,7 +112,7 @@
         cached = cache.load() if cache is not None else None
         rejections: Sequence[Rejection] = ()
         if cached is not None:
-            rejections = self._restore(list(cached.table.live()), cached.kept)
+            rejections = self._restore(cached.table, cached.kept)
             logger.info(
                 "control: {} resources of revision {} from the cache", len(cached.table), cached.table.revision
             )
@@ -126,13 +128,15 @@
             zone,
         )
 
-    def _restore(self, live: list[Resource], kept: Sequence[Resource]) -> Sequence[Rejection]:
+    def _restore(self, table: ResourceTable, kept: Sequence[Resource]) -> Sequence[Rejection]:
         """What was in force when the cache was written, then what was refused then: it may be good by now."""
-        was_kept = {(one.kind, one.name) for one in kept}
-        good = [one for one in live if (one.kind, one.name) not in was_kept]
+        later = {(one.kind, one.name) for one in kept}
         self._owner.apply(kept)
-        refused = {(r.kind, r.name): r for r in self._owner.apply(good)}
-        again = [one for one in live if (one.kind, one.name) in was_kept or (one.kind, one.name) in refused]
+        good = (one for one in table.live() if (one.kind, one.name) not in later)
+        refused = [r for part in _slices(good, RESTORED) for r in self._owner.apply(part)]
+        later.update((r.kind, r.name) for r in refused)
+        again = [one for key in later if (one := table.get(*key)) is not None]
+        again.sort(key=lambda one: one.revision)
         rejections = [_short(r) for r in self._owner.apply(again)]
         self._remember_kept({(r.kind, r.name) for r in rejections})
         self._owner.settled()
@@ -316,7 +320,7 @@
         self._do(self.subscriber.tick(now) if now >= self.subscriber.due() else [])
 
 
-def _slices(resources: Sequence[Resource], size: int) -> Iterator[list[Resource]]:
+def _slices(resources: Iterable[Resource], size: int) -> Iterator[list[Resource]]:
     rest = iter(resources)
     while part := list(islice(rest, size)):
         yield part
--- a/tests/test_distribution_rim.py
+++ b/tests/test_distribution_rim.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -13,8 +13,9 @@
 
 from dockthread.clock import Clock
 from dockthread.distribution.cache import BrokenCache, Cache, read
+from dockthread.distribution.client import Client
 from dockthread.distribution.fanout import FanoutLimits
-from dockthread.distribution.messages import Resource, StatusRequest, Subscribe, Update, codec
+from dockthread.distribution.messages import Rejection, Resource, StatusRequest, Subscribe, Update, codec
 from dockthread.distribution.resources import ResourceTable
 from dockthread.distribution.server import MOST_REQUEST, Server, ServerLimits
 from dockthread.frames import HEAD
@@ -87,8 +88,8 @@
     served(scenario)
 
 
-def cached(folder: Path, names: list[str]) -> ResourceTable:
-    """One file, a commit for each name."""
+def cached(folder: Path, names: list[str], kept: tuple[Resource, ...] = ()) -> ResourceTable:
+    """One file, a commit for each name. A body is its resource's name."""
     table = ResourceTable("e")
 
     async def write() -> None:
@@ -96,7 +97,7 @@
         for name in names:
             one = Resource("route", name, table.revision + 1, name.encode())
             table.put(one)
-            cache.save(table, [one], ())
+            cache.save(table, [one], kept)
         cache.close()
 
     asyncio.run(write())
@@ -130,6 +131,34 @@
         read(path, "n1")
 
 
+class Owner:
+    """Refuses bodies that are `bad`."""
+
+    def __init__(self) -> None:
+        self.held: dict[str, Resource] = {}
+
+    def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        bad = [one for one in changes if one.body == b"bad"]
+        self.held.update((one.name, one) for one in changes if one not in bad)
+        return [Rejection(one.kind, one.name, one.revision, "is bad") for one in bad]
+
+    def in_force(self, kind: str, name: str) -> Resource | None:
+        return self.held.get(name)
+
+    def settled(self) -> None: ...
+
+
+def test_what_was_refused_before_a_restart_is_refused_after_it_and_the_last_good_one_holds(tmp_path: Path) -> None:
+    good = Resource("route", "bad", 1, b"good")
+    cached(tmp_path, ["a", "bad"], (good,))
+    owner = Owner()
+    cache = Cache(tmp_path, "n0", 0.0)
+    client = Client("n0", [], owner, Clock(), random.Random(1), cache=cache)
+    assert owner.held["bad"] == good and owner.held["a"].body == b"a"
+    assert client.subscriber.rejections == (Rejection("route", "bad", 2, "is bad"),)
+    cache.close()
+
+
 def test_a_class_and_a_route_that_names_it_come_with_one_reload(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
