--- a/dockthread/cli/control.py
+++ b/dockthread/cli/control.py
@@ -184,9 +184,11 @@
 
 def lines(whole: asking.Overview) -> list[str]:
     out = [f"revision {whole.revision} of {whole.epoch or 'no history'}"]
+    lagging = whole.lagging_servers()
     for at, s in sorted(whole.servers.items()):
+        lags = " (lags)" if s in lagging else ""
         age = f"{s.age / 1000:.1f} s old" if s.age >= 0 else "of unknown age"
-        out.append(f"{s.role} {s.name} at {at}: revision {s.revision}, {age}, {len(s.subscribers)} subscribers")
+        out.append(f"{s.role} {s.name} at {at}: revision {s.revision}{lags}, {age}, {len(s.subscribers)} subscribers")
     out += [f"not reached: {at}: {why}" for at, why in sorted(whole.missed.items())]
     everywhere, current = Counter[tuple[str, str]](), Counter[tuple[str, str]]()
     for one in whole.subscribers:
@@ -194,10 +196,10 @@
         current[one.region, one.zone] += not whole.lags(one)
     for (region, zone), count in sorted(everywhere.items()):
         out.append(f"{region or 'no region'} {zone or 'no zone'}: in force at {current[region, zone]} of {count}")
-    lagging = whole.lagging()
-    out += [line for one in lagging[:MOST_SHOWN] for line in lag(one, whole)]
-    if len(lagging) > MOST_SHOWN:
-        out.append(f"and {len(lagging) - MOST_SHOWN} more: --json tells them all")
+    behind = whole.lagging()
+    out += [line for one in behind[:MOST_SHOWN] for line in lag(one, whole)]
+    if len(behind) > MOST_SHOWN:
+        out.append(f"and {len(behind) - MOST_SHOWN} more: --json tells them all")
     return out
 
 
--- a/dockthread/distribution/asking.py
+++ b/dockthread/distribution/asking.py
@@ -142,10 +142,14 @@
 
 
 def _joined(servers: list[Status]) -> list[SubscriberStatus]:
-    """Each subscriber once, as the server knows it that it is connected to, or was last ahead with."""
+    """Each subscriber once, as the server knows it that it is connected to, or was last ahead with; but for servers
+    that told of themselves."""
     best: dict[str, SubscriberStatus] = {}
+    known = {server.name for server in servers}
     for server in servers:
         for one in server.subscribers:
+            if one.name in known:
+                continue
             there = best.get(one.name)
             if there is None or (one.connected, one.revision) > (there.connected, there.revision):
                 best[one.name] = one
--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -15,6 +15,7 @@
 from collections import deque
 from collections.abc import Iterable, Iterator, Sequence
 from itertools import islice
+from math import isfinite
 from pathlib import Path
 from typing import Final, Protocol
 
@@ -22,7 +23,7 @@
 
 from dockthread.clock import Clock
 from dockthread.distribution.cache import Cache
-from dockthread.distribution.messages import MOST_FRAME, Heartbeat, Message, Rejection, Resource, Update
+from dockthread.distribution.messages import MOST_FRAME, Heartbeat, Message, Rejection, Resource, RetryLater, Update
 from dockthread.distribution.options import ControlOptions
 from dockthread.distribution.resources import ResourceTable
 from dockthread.distribution.stream import FrameStream
@@ -216,6 +217,9 @@
 
     def heard(self, number: int, message: Message) -> None:
         if not self._closed:
+            if not _finite(message):
+                self.malformed(number, "a time that is no number")
+                return
             if not self._told and isinstance(message, Update | Heartbeat):
                 self._told = self.subscriber.server
                 logger.info("control: receives from {}", self._told)
@@ -326,6 +330,13 @@
         yield part
 
 
+def _finite(message: Message) -> bool:
+    """Whether its times are numbers; no timer could be set by another."""
+    if isinstance(message, Heartbeat):
+        return isfinite(message.age)
+    return not isinstance(message, RetryLater) or isfinite(message.after)
+
+
 def _short(one: Rejection) -> Rejection:
     return Rejection(one.kind, one.name, one.revision, one.reason[:MOST_REASON])
 
--- a/dockthread/distribution/options.py
+++ b/dockthread/distribution/options.py
@@ -14,6 +14,7 @@
 
 LEAST_KEY, MOST_KEY = 16, 64  # bytes of the shared key
 LEAST_SAVE = 100.0  # ms between two writes of the cache
+LEAST_RATE = 1_000_000  # bytes of snapshots a second
 LEAST_HEARTBEAT, MOST_HEARTBEAT = 50.0, 1_000.0  # ms: whoever hears nothing for 2.5 s leaves a server
 ROLES = "ingress, distributor, voter"
 
@@ -26,7 +27,8 @@
     `servers`: HOST:PORT of those to receive from, `far_servers` of those to turn to while none of these
     can be reached. `cache`: a directory for the last state in force. `cache_interval`:
     least time between two writes of it. `most_connections`: what a server holds at once. `write_buffer`: bytes that
-    wait for one connection before its next message is asked for. `heartbeat`: between signs of life."""
+    wait for one connection before its next message is asked for. `heartbeat`: between signs of life.
+    `snapshot_rate`: bytes of whole states a second that a server sends over time, twice as many at once."""
 
     role: Literal["ingress", "distributor", "voter"] | None = None
     name: str = ""
@@ -41,6 +43,7 @@
     most_connections: int = 512
     write_buffer: Size = Size(64 << 10)
     heartbeat: Duration = Duration(1_000.0)
+    snapshot_rate: Size = Size(20_000_000)
 
     def faults(self) -> Iterable[Fault]:
         if self.role is None:
@@ -88,6 +91,8 @@
             yield "most_connections", f"{self.most_connections} is out of range", "1 to 10000"
         if not 4 << 10 <= self.write_buffer <= 16 << 20:
             yield "write_buffer", f"{self.write_buffer} is out of range", "4KiB to 16MiB"
+        if self.snapshot_rate < LEAST_RATE:
+            yield "snapshot_rate", f"{self.snapshot_rate} is too low", "1MB at least; 20MB is usual"
         if not LEAST_HEARTBEAT <= self.heartbeat <= MOST_HEARTBEAT:
             yield "heartbeat", f"{self.heartbeat} is out of range", f"{LEAST_HEARTBEAT:g}ms to 1s"
 
--- a/dockthread/distribution/process.py
+++ b/dockthread/distribution/process.py
@@ -98,9 +98,9 @@
 
 
 def limits_of(options: ControlOptions) -> tuple[ServerLimits, FanoutLimits]:
-    most = options.most_connections
-    server = ServerLimits(most + ASKING, options.write_buffer)
-    return server, FanoutLimits(most_subscribers=most, beat=float(options.heartbeat))
+    most, rate = options.most_connections, float(options.snapshot_rate)
+    fanout = FanoutLimits(most, snapshot_rate=rate, snapshot_burst=2 * rate, beat=float(options.heartbeat))
+    return ServerLimits(most + ASKING, options.write_buffer), fanout
 
 
 def _part(control: ControlOptions, fleet: FleetOptions) -> Part:
--- a/tests/test_control_options.py
+++ b/tests/test_control_options.py
@@ -30,6 +30,7 @@
     (DISTRIBUTOR + "most_connections = 0", "most_connections: 0 is out of range; 1 to 10000"),
     (DISTRIBUTOR + "write_buffer = 1KiB", "write_buffer: 1KiB is out of range; 4KiB to 16MiB"),
     (DISTRIBUTOR + "heartbeat = 1ms", "heartbeat: 1ms is out of range; 50ms to 1s"),
+    (DISTRIBUTOR + "snapshot_rate = 1KiB", "snapshot_rate: 1KiB is too low; 1MB at least; 20MB is usual"),
     (DISTRIBUTOR + "cache_interval = 1ms", "cache_interval: 1ms is too short; 100ms at least"),
     (VOTER, "role: is voter, and there is no [fleet]; write [fleet] with all voters"),
     (VOTER + "servers = a:1", "servers: is set, and a voter receives by [fleet]; leave it out"),
