--- a/dockthread/cli/lab.py
+++ b/dockthread/cli/lab.py
@@ -11,6 +11,7 @@
 import click
 
 from dockthread import api
+from dockthread.cli.lab_distribution import distribution
 from dockthread.cli.lab_fleet import fleet
 from dockthread.lab.arrivals import Mix, read_trace, shape, weights, write_trace
 from dockthread.lab.load import Target
@@ -29,6 +30,7 @@
     """Put an ingress under known load."""
 
 
+lab.add_command(distribution)
 lab.add_command(fleet)
 
 
--- a/dockthread/lab/distribution/faults.py
+++ b/dockthread/lab/distribution/faults.py
@@ -16,11 +16,12 @@
     "uplink",
 )  # fmt: skip
 SINGLE: Final = ("break", "kill", "stall", "wave", "zone", "voter", "slow", "uplink", "region")  # one at a time
+STALL: Final = (100.0, 12_000.0)  # ms for which a process is held still
 HOUR: Final = 3_600_000.0  # ms
 RESTART: Final = (50.0, 3_000.0)  # ms until a process that died is started
 UPLINK: Final = (2_000.0, 12_000.0)  # ms for which a distributor reaches no voter
 QUICK: Final = (50.0, 300.0)  # ms until all of a wave are started
-AWAY: Final = (500.0, 8_000.0)  # ms for which a zone or the links between regions are lost
+AWAY: Final = (500.0, 12_000.0)  # ms for which a zone or the links between regions are lost
 
 
 class Faults:
@@ -73,7 +74,7 @@
         self._restart(self._any())
 
     def _stall(self) -> None:
-        process, lasts = self._any(), self._rng.uniform(100.0, 9_000.0)
+        process, lasts = self._any(), self._rng.uniform(*STALL)
         process.stall()
         self._touch(process, self._world.clock.now + lasts)
         self._world.clock.after(lasts, process.go_on, process.life)
--- a/dockthread/lab/distribution/nodes.py
+++ b/dockthread/lab/distribution/nodes.py
@@ -29,20 +29,24 @@
     def start(self) -> None:
         if not self.up:
             self.life, self.up, self.stalled, self._armed = self.life + 1, True, False, float("inf")
+            self.world.note(f"{self.name} starts")
             self.begin()
             self.settle()
 
     def kill(self) -> None:
         if self.up:
             self.up = False
+            self.world.note(f"{self.name} dies")
             self.world.network.died(self)
 
     def stall(self) -> None:
         self.stalled = True
+        self.world.note(f"{self.name} is held still")
 
     def go_on(self, life: int) -> None:
         if self.up and self.life == life and self.stalled:
             self.stalled = False
+            self.world.note(f"{self.name} goes on")
             self.settle()
 
     def settle(self) -> None:
--- a/dockthread/lab/distribution/plants.py
+++ b/dockthread/lab/distribution/plants.py
@@ -26,9 +26,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Plant:
-    """The cores of a world, one of them wrong, and the scenario that is to find it."""
+    """The cores of a world, one of them wrong, and the scenario that is to find it. `faults`: which bring it out; the
+    scenario's own where None."""
 
     scenario: str = "drawn"
+    faults: tuple[str, ...] | None = None
     subscriber: type[Subscriber] = Subscriber
     fanout: type[Fanout] = Fanout
     publishing: type[Publishing] = Publishing
@@ -203,15 +205,15 @@
 
 PLANTS: Final = {
     "cursor-of-the-name": Plant(fanout=CursorOfTheName, subscriber=DigestUnchecked),
-    "deletes-forgotten": Plant(subscriber=DeletesForgotten),
+    "deletes-forgotten": Plant(faults=("stall", "zone"), subscriber=DeletesForgotten),
     "older-applied": Plant(subscriber=OlderTaken, fanout=OlderServed),
-    "digest-not-compared": Plant(subscriber=DigestUnchecked, fanout=DigestUnread),
-    "tokens-forgotten": Plant(publishing=TokensForgotten),
+    "digest-not-compared": Plant(faults=("rot",), subscriber=DigestUnchecked, fanout=DigestUnread),
+    "tokens-forgotten": Plant(faults=("voters",), publishing=TokensForgotten),
     "expected-unchecked": Plant(publishing=ExpectedUnchecked),
-    "budget-ignored": Plant(fanout=BudgetIgnored),
-    "silence-unnoticed": Plant("single", subscriber=SilenceUnnoticed),
-    "stale-server-kept": Plant("single", subscriber=StaleServerKept),
-    "always-fresh": Plant("single", fanout=AlwaysFresh),
+    "budget-ignored": Plant(faults=("wave",), fanout=BudgetIgnored),
+    "silence-unnoticed": Plant("single", ("stall", "zone"), subscriber=SilenceUnnoticed),
+    "stale-server-kept": Plant("single", ("uplink",), subscriber=StaleServerKept),
+    "always-fresh": Plant("single", ("uplink",), fanout=AlwaysFresh),
     "stale-snapshot-served": Plant(fanout=StaleSnapshotServed, subscriber=DigestUnchecked),
     "stale-deltas": Plant(fanout=StaleDeltas, subscriber=DigestUnchecked),
     "parts-at-once": Plant(subscriber=PartsAtOnce),
--- a/dockthread/lab/distribution/publisher.py
+++ b/dockthread/lab/distribution/publisher.py
@@ -76,4 +76,5 @@
             clock.after(rng.uniform(1.0, 10.0), self._heard, answer)
 
     def _heard(self, answer: Published) -> None:
+        self._world.note(f"{answer.token} is told {answer.revision} {answer.reason}")
         self._world.checker.told(self._world.clock.now, answer.token, answer.revision)
--- a/dockthread/lab/distribution/world.py
+++ b/dockthread/lab/distribution/world.py
@@ -56,10 +56,10 @@
     zones: int = 2  # of a region
     distributors: int = 2  # of a region
     ingresses: int = 8  # of a region
-    most_tombstones: int = 8
+    most_tombstones: int = 3
     most_tokens: int = 4_096
     limits: FanoutLimits = FanoutLimits(
-        most_subscribers=16, snapshot_rate=10_000.0, snapshot_burst=4_000.0, part=800, silence=4_000.0,
+        most_subscribers=16, snapshot_rate=10_000.0, snapshot_burst=2_500.0, part=800, silence=4_000.0,
         retry_least=50.0, retry_most=1_500.0,
     )  # fmt: skip
     times: SubscriberTimes = SubscriberTimes()
@@ -86,7 +86,8 @@
         self._plant: Plant = PLANTS[plant] if plant else Plant()
         self._single, self._hour = single, hour
         drawn = tuple(SINGLE if single else [f for f in FAULTS if self.rng.random() < 0.4])
-        self.faults = drawn if faults is None else tuple(faults)
+        chosen = self._plant.faults if faults is None else tuple(faults)
+        self.faults = drawn if chosen is None else chosen
         self.processes: dict[str, Process] = {}
         self.voters = [self._place(Voter, f"v-{region}", region, 0) for region in self.settings.regions]
         self.distributors = self._spread(Distributor, "d", self.settings.distributors)
