--- a/dockthread/distribution/in_force.py
+++ b/dockthread/distribution/in_force.py
@@ -13,7 +13,7 @@
 class _Batch:
     number: int
     acknowledge: Acknowledge  # once it is in force, without rejections
-    keys: list[tuple[str, str]]
+    resources: Sequence[Resource]
 
 
 class InForce:
@@ -33,7 +33,7 @@
     def give(self, resources: Sequence[Resource], then: Acknowledge) -> int:
         """The number of a new batch; `then` holds once it is in force."""
         self._given += 1
-        self._batches.append(_Batch(self._given, then, [(one.kind, one.name) for one in resources]))
+        self._batches.append(_Batch(self._given, then, resources))
         return self._given
 
     def unchanged(self, then: Acknowledge) -> None:
@@ -49,8 +49,9 @@
             return False
         while self._batches and self._batches[0].number <= number:
             batch = self._batches.popleft()
-            for key in batch.keys:
-                self._rejections.pop(key, None)
+            if self._rejections:
+                for resource in batch.resources:
+                    self._rejections.pop((resource.kind, resource.name), None)
             self._held = batch.acknowledge
         self._rejections.update({(one.kind, one.name): one for one in rejected})
         return True
--- a/dockthread/lab/distribution/voter.py
+++ b/dockthread/lab/distribution/voter.py
@@ -121,6 +121,7 @@
 
     def _apply(self, index: int, data: bytes) -> None:
         self.publishing.apply(index, data)
+        self.world.checker.accepted(self.world.clock.now, self.publishing.table.revision)
         for token in list(self._replies):
             answer = self.publishing.answer(token)
             if answer is not None:
