Tell a subscriber the digest again when the table was mended at its revision

Change: a cursor keeps the digest that it was told, and an empty complete update follows where the table's is another.

--- a/dockthread/distribution/encoded.py
+++ b/dockthread/distribution/encoded.py
@@ -15,11 +15,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DeltaFrame:
-    """`revision`: what its receiver holds after it; `complete`: and that this is all."""
+    """`revision`: what its receiver holds after it; `digest`: of all, empty where this is not all."""
 
     frame: bytes
     revision: int
-    complete: bool
+    digest: bytes
 
 
 class Snapshot:
@@ -27,6 +27,7 @@
 
     def __init__(self, table: ResourceTable, part: int, key: bytes) -> None:
         self.epoch, self.revision, self.size = table.epoch, table.revision, float(table.bytes)
+        self.digest = table.digest
         self._frozen: FrozenTable | None = table.freeze()
         self._part, self._key = part, key
         self._frames: list[bytes] = []
@@ -47,7 +48,7 @@
         self._table, self._part, self._key = table, part, key
         self._snapshot: Snapshot | None = None
         self._deltas: dict[int, DeltaFrame] = {}
-        self._deltas_of = ("", 0, True)  # epoch, revision and wholeness of the table of which the deltas are
+        self._deltas_of = ("", 0, True, b"")  # epoch, revision, wholeness and digest of the table that they are of
 
     def snapshot(self) -> Snapshot:
         """The cached one where deltas bring its receiver up to date soon, else a new one."""
@@ -62,12 +63,12 @@
     def delta(self, revision: int) -> DeltaFrame:
         """What follows for a receiver that holds `revision`."""
         table = self._table
-        state = (table.epoch, table.revision, table.whole)
+        state = (table.epoch, table.revision, table.whole, table.digest)
         if state != self._deltas_of or len(self._deltas) >= MOST_DELTAS:
             self._deltas, self._deltas_of = {}, state
         if revision not in self._deltas:
             update = table.since(revision, self._part)
-            self._deltas[revision] = DeltaFrame(codec.pack(update, self._key), update.revision, update.complete)
+            self._deltas[revision] = DeltaFrame(codec.pack(update, self._key), update.revision, update.digest)
         return self._deltas[revision]
 
     def _near(self, snapshot: Snapshot) -> bool:
--- a/dockthread/distribution/fanout.py
+++ b/dockthread/distribution/fanout.py
@@ -31,6 +31,7 @@
 from dockthread.distribution.messages import (
     MOST_NAME,
     MOST_REJECTIONS,
+    NO_DIGEST,
     Acknowledge,
     Heartbeat,
     Rejection,
@@ -101,7 +102,7 @@
     snapshot: Snapshot | None = None  # under way
     wants_snapshot: bool = False
     part: int = 0
-    confirmed: bool = False  # it was told that what it holds is complete, with the digest
+    confirmed: bytes = NO_DIGEST  # the last digest that it was told, where nothing was handed over since
     owed: float = 0.0  # bytes of the snapshot
     heartbeat_at: float = NEVER_SENT
     replaced: bool = False  # by another connection of the same name
@@ -301,17 +302,17 @@
     def _end_snapshot(self, cursor: _Cursor, snapshot: Snapshot) -> None:
         self._budget.settle(cursor.owed)
         cursor.owed, cursor.snapshot = 0.0, None
-        cursor.epoch, cursor.revision, cursor.confirmed = snapshot.epoch, snapshot.revision, True
+        cursor.epoch, cursor.revision, cursor.confirmed = snapshot.epoch, snapshot.revision, snapshot.digest
         cursor.heartbeat_at = min(cursor.heartbeat_at, NEVER_SENT)  # how fresh it is now
 
     def _delta(self, cursor: _Cursor) -> bytes | None:
         table = self.table
         if cursor.epoch != table.epoch or not table.can_resume(cursor.revision):
             return None  # nothing here yet, or the table is behind
-        if cursor.revision == table.revision and (cursor.confirmed or not table.whole):
+        if cursor.revision == table.revision and (cursor.confirmed == table.digest or not table.whole):
             return None
         delta = self._cache.delta(cursor.revision)
-        cursor.revision, cursor.confirmed = delta.revision, delta.complete
+        cursor.revision, cursor.confirmed = delta.revision, delta.digest
         return delta.frame
 
     def _heartbeat(self, now: float, cursor: _Cursor) -> bytes:
--- a/tests/test_distribution_cores.py
+++ b/tests/test_distribution_cores.py
@@ -208,6 +208,17 @@
     assert [one.revision for one in sent[-1].resources] == [60], "19 changes between were never sent"
 
 
+def test_a_table_that_was_mended_at_the_same_revision_is_told_by_its_digest() -> None:
+    served, right = table(10), table(10)
+    served._remove("route\x00r4")
+    server = fanout(served)
+    server.subscribe(10.0, 1, Subscribe("s", "e1", 10, served.digest))
+    assert [one.digest for one in updates(server)] == [served.digest]
+    served.adopt(right)
+    assert [(one.resources, one.digest) for one in updates(server)] == [((), table(10).digest)]
+    assert updates(server) == []
+
+
 def test_snapshots_keep_to_their_budget_and_who_finds_it_empty_comes_again_spread_out() -> None:
     served = table(100)
     size = served.bytes
