--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -145,8 +145,9 @@
 @click.option("--at", default="", callback=quantity(at_size), metavar="SIZE=N,...", help="Extrapolate to this size.")
 @click.option("--terms", default="ingresses,backends,changes,configuration,routes", show_default=True,
               help="Of the line; products as backends*changes.")  # fmt: skip
+@click.option("--without-void", is_flag=True, help="Leave void runs out.")
 @click.option("--json", "as_json", is_flag=True, help="As one JSON object.")
-def fit(reports: tuple[Path, ...], at: dict[str, float], terms: str, as_json: bool) -> None:
+def fit(reports: tuple[Path, ...], at: dict[str, float], terms: str, without_void: bool, as_json: bool) -> None:
     """Draw lines through the figures of four reports or more, of different sizes, and extrapolate.
 
     Exit codes: 0 all lines fit; 1 one does not; 2 no line can be drawn."""
@@ -154,7 +155,8 @@
     from dockthread.lab.scale.text import fit_lines
 
     try:
-        found = fitted([json.loads(path.read_bytes()) for path in reports], terms_of(terms), at)
+        read = [json.loads(path.read_bytes()) for path in reports]
+        found = fitted(read, terms_of(terms), at, not without_void)
     except (FitError, ValueError, KeyError) as error:
         click.echo(f"no line: {error}", err=True)
         sys.exit(VOID)
--- a/dockthread/lab/scale/fit.py
+++ b/dockthread/lab/scale/fit.py
@@ -157,13 +157,16 @@
     return [name for name, value in at.items() if value > FAR * largest[name]]
 
 
-def fitted(reports: Sequence[dict[str, Any]], terms: Sequence[str], at: dict[str, float]) -> dict[str, Any]:
-    """All lines that can be drawn; `at`: a size to extrapolate to, or empty."""
-    used = [one for one in reports if "size" in one]
+def fitted(
+    reports: Sequence[dict[str, Any]], terms: Sequence[str], at: dict[str, float], with_void: bool = True
+) -> dict[str, Any]:
+    """All lines that can be drawn; `at`: a size to extrapolate to, or empty. Figures that are all 0 are left out."""
+    used = [one for one in reports if "size" in one and (with_void or one["verdict"] != "void")]
     told = varied(used, terms)
     if not told:
         raise FitError("the reports are of one size: a line needs runs at four sizes or more")
-    lines = [found for figure in FIGURES if (found := line(used, figure, told)) is not None]
+    drawn = (line(used, figure, told) for figure in FIGURES)
+    lines = [one for one in drawn if one is not None and (one.mean or any(one.residuals))]
     if not lines:
         raise FitError(
             f"too few sizes: a line over {', '.join(told)} needs {max(LEAST_SIZES, len(told) + 2)} of them"
--- a/dockthread/lab/scale/text.py
+++ b/dockthread/lab/scale/text.py
@@ -66,7 +66,7 @@
 
 def fit_lines(found: dict[str, Any]) -> list[str]:
     """Of `dockthread lab scale fit`."""
-    out = [f"{len(found['sizes'])} runs, {found['void']} of them void, {found['not_used']} without figures not used"]
+    out = [f"{len(found['sizes'])} runs, {found['void']} of them void, {found['not_used']} more not used"]
     for one in found["lines"]:
         slopes = "".join(f" {slope:+.4g} x {term}" for term, slope in one["slopes"].items())
         line = f"{one['figure']} = {one['constant']:.4g}{slopes}; residuals {', '.join(map(str, one['residuals']))}"
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -153,6 +153,9 @@
     assert (done.returncode, found["terms"], found["beyond"]) == (0, ["ingresses", "backends"], ["backends"])
     assert line["at"] == pytest.approx(2.0 + 1.6 + 72.0) and line["slopes"]["backends"] == pytest.approx(0.003)
     assert dockthread("lab", "scale", "fit", *map(str, paths[:3]), *at).returncode == 2
+    paths[0].write_text(json.dumps({**json.loads(paths[0].read_text()), "verdict": "void"}))
+    left = dockthread("lab", "scale", "fit", "--json", "--without-void", *map(str, paths), *at)
+    assert json.loads(left.stdout)["not_used"] == 1
 
 
 def test_a_fit_says_where_a_line_does_not_fit_and_where_sizes_vary_together() -> None:
