Split a cap on attempts out evenly where nothing tells of the others

Change: no free request where the set is larger than the cap; a plan without a quota counts requests (`Plan.counted`, in module/api.py).

--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -31,9 +31,9 @@
         call = Call(ask, self.s.classes[ask.request_class], self.now + ask.time_left)
         c, sketch = self._customer(ask.customer, ask.plan), self.sketches[ask.plan]
         c.first, c.spread = ask.first_gateway % self.s.gateways, min(max(1, ask.spread), self.s.gateways)
-        c.arrived += ask.units
+        c.arrived += (units := self.s.plans[ask.plan].counted(ask.units))
         if sketch is not None:
-            c.rate = sketch.add(ask.customer, ask.units, self.now)
+            c.rate = sketch.add(ask.customer, units, self.now)
             if self._doubtful(ask, c, sketch):
                 self.calls[ask.request] = call
                 c.waiting.append(ask.request)
@@ -121,7 +121,8 @@
 
     def _admit(self, ask: api.RequestArrived, rules: api.RequestClass, c: Customer) -> bool:
         plan, sketch = self.s.plans[ask.plan], self.sketches[ask.plan]
-        if sketch and self.rng.random() >= self._chance(ask.units, rules.worth, c, plan, sketch):
+        units = plan.counted(ask.units)
+        if sketch and self.rng.random() >= self._chance(units, rules.worth, c, plan, sketch):
             return self.no("quota")
         if self._capped(c):
             return self.no("cap")
@@ -152,7 +153,8 @@
             phi = max(rate * c.rate / (c.rate + asked), rate / c.spread)
             gone = c.spending * min(gap, self.turn)
             return self._lean(units, worth, c, min(1.0, phi / c.rate), gone, told)
-        phi = max(rate / c.spread, units / sketch.window)
+        crowd = 0 < plan.most_out < c.spread and not plan.rate  # one attempt at each is beyond the cap
+        phi = max(rate / c.spread, 0.0 if crowd else units / sketch.window)
         if not self.s.may_count or not plan.rate:
             return min(1.0, phi / c.rate)
         gap = self.now - c.heard
--- a/dockthread/module/api.py
+++ b/dockthread/module/api.py
@@ -87,6 +87,10 @@
     ceiling_burst: float = 0.0
     ceiling_slack: float = 0.0
 
+    def counted(self, units: float) -> float:
+        """What a request of these units counts as: one attempt, where there is no quota and only a cap on them."""
+        return units if self.rate else 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class Safety:
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -165,3 +165,50 @@
     assert units["beyond"] < 0.05 * units["let in"], "a total that told no store left 0.07 to 0.27"
     assert units["refused with room"] < 0.15 * (units["let in"] + units["refused"])
     assert fleet.calls < 1.8 * len(fleet.asked)
+
+
+class Capped:
+    """Ingresses of one firm whose plan only caps attempts out; nothing tells an ingress of the others' attempts."""
+
+    def __init__(self, ingresses: int, cap: int, seed: int) -> None:
+        plan, kind = api.Plan(most_out=cap), api.RequestClass(aim=0.5, deadline=2.0)
+        self.gateways = [LetIn(api.Settings(n, ingresses, (kind,), (plan,), may_count=True), seed + n, 0.0)
+                         for n in range(ingresses)]  # fmt: skip
+        self.rng, self.cap, self.now, self.ends = random.Random(seed), cap, 0.0, list[float]()
+        self.let_in = self.beyond = self.calls = 0
+
+    def play(self, asked: float, answer: float, units: float) -> None:
+        """Requests come `asked` times as often as keeps the cap full; each takes `answer` s on average."""
+        request = 0
+        while self.now < 60.0:
+            self.now += self.rng.expovariate(asked * self.cap / answer)
+            while self.ends and self.ends[0] <= self.now:
+                heappop(self.ends)
+            request += 1
+            gateway = self.rng.choice(self.gateways)
+            event = api.RequestArrived(request, 0, 0, 7, 2.0, units, len(self.gateways), 0)
+            actions = gateway.handle(self.now, event)
+            self.calls += sum(isinstance(a, api.Count) for a in actions)
+            if request in gateway.calls:
+                gateway.calls.pop(request)
+                self.let_in += 1
+                self.beyond += len(self.ends) >= self.cap
+                heappush(self.ends, self.now + self.rng.expovariate(1 / answer))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_cap_on_attempts_out_is_split_evenly_where_nothing_tells_of_the_others(seed: int) -> None:
+    firm = Capped(ingresses=25, cap=5, seed=seed)
+    firm.play(asked=3.0, answer=0.1, units=1.0)
+    assert firm.beyond < 0.3 * firm.let_in, "with one attempt free at each ingress it was 0.71"
+    assert firm.let_in > 0.25 * 60.0 * firm.cap / 0.1
+    assert not firm.calls, "the counter has no number for a plan without a quota"
+
+
+def test_a_cap_on_attempts_out_counts_attempts_whatever_their_units() -> None:
+    def let_in(units: float) -> int:
+        firm = Capped(ingresses=3, cap=8, seed=1)
+        firm.play(asked=1.0, answer=0.1, units=units)
+        return firm.let_in
+
+    assert let_in(4.0) == pytest.approx(let_in(1.0), rel=0.05)
