Take what went beyond a quota back from the counter's number

Causes: units let in beyond a quota stayed in the number as a debt that later units inside it paid, where the copy before stopped at 0; and one that lifted second took his lift back only beyond half a burst, which a doubled one is often just short of.

Change: what is under an empty store is taken back as what ran over is added, and a lift that another made first is taken back whole.

--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -82,14 +82,14 @@
 
     def _call(self, key: int, c: Customer) -> None:
         clock = self.now + self.s.ahead
-        c.calling = (self.now - clock % EPOCH, c.unsaid, max(0.0, c.lift))
+        c.calling = (self.now - clock % EPOCH, c.unsaid, c.due)
         name = key << 24 | int(clock / EPOCH) & 0xFFFFFF
         self.actions.append(api.Count(name, c.unsaid + c.lift, LIFE))
-        c.unsaid = c.lift = 0.0
+        c.unsaid = c.due = c.lift = 0.0
 
     def _counted(self, e: api.Counted) -> None:
         """The number is the customer's one store: units used since the epoch's start, and those that ran over
-        while it was full. What ran over and is not in it yet is added with the next units told: a lift."""
+        while it was full. What it lacks of these is added with the next units told, or by itself: a lift."""
         c = self.customers.get(e.name >> 24)
         if c is None or c.calling is None:
             return
@@ -97,11 +97,11 @@
         c, plan, sketch = self._customer(e.name >> 24, c.plan), self.s.plans[c.plan], self.sketches[c.plan]
         assert sketch is not None
         if e.outcome is Outcome.OK:
-            before = e.total - units - lift
-            room = plan.rate * (self.now - begun) - before  # what ran over, or what lacks to a full store
-            others = c.store.counter_told(plan.burst + min(0.0, room) - units - c.unsaid)
-            c.rest = sketch.decayed(c.rest, others, self.now - c.heard)
-            c.lift, c.heard, self.failures = max(0.0, room) - lift, self.now, 0
+            room = plan.rate * (self.now - begun) - (e.total - units - lift)
+            left, due = c.store.by_the_number(room, units)
+            c.rest = sketch.decayed(c.rest, c.store.counter_told(left - c.unsaid), self.now - c.heard)
+            c.due, c.lift, c.heard, self.failures = due * (not lift), due - lift, self.now, 0
+            c.lift *= abs(c.lift) > abs(lift) / 2  # else it is others' use, and not their lift of the same
         else:
             c.unsaid += units * (e.outcome in NEVER_RAN)
             spoilt = e.outcome in (Outcome.ERROR, Outcome.RESET)  # and so a sign of life: ask again
@@ -114,10 +114,10 @@
         waiting, c.waiting = c.waiting, []
         for call in [self.calls[r] for r in waiting if r in self.calls]:
             self._decide(call.ask, call, c)
-        unlifted = (units or lift) and abs(c.lift) > LAG * plan.burst
+        unlifted = c.lift and (lift or (abs(c.lift) > LAG * plan.burst and (units or c.lift < 0)))
         if e.outcome is Outcome.OK and c.calling is None and (c.unsaid or unlifted):
             self._call(e.name >> 24, c)
-        c.lift = 0.0  # it holds for this moment
+        c.due = c.lift = 0.0  # they hold for this moment
 
     def _admit(self, ask: api.RequestArrived, rules: api.RequestClass, c: Customer) -> bool:
         plan, sketch = self.s.plans[ask.plan], self.sketches[ask.plan]
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -110,7 +110,9 @@
         self.own, self.own_at = 0.0, NEVER  # decayed rate of what was let in here, at the last time
         self.unsaid = 0.0  # units let in that the counter was not told
         self.calling: tuple[float, float, float] | None = None  # the call out: its epoch's start, units, lift
-        self.lift, self.heard = 0.0, NEVER  # what its number lacks in this moment; when it was last told
+        self.due = 0.0  # what the counter's number lacks in this moment, if no call took it along yet
+        self.lift = 0.0  # what is to be added to it for that, or taken back
+        self.heard = NEVER  # when its number was last told
         self.rest = 0.0  # decayed rate of what the others let in, by the counter
         self.used, self.used_at = 0.0, NEVER  # the meter's last word: use by all, as a part of the quota
         self.waiting: list[int] = []  # requests held for the counter's answer
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -167,6 +167,52 @@
     assert fleet.calls < 1.8 * len(fleet.asked)
 
 
+class Number:
+    """A firm's number on the counter, and two ingresses that call it; each call is added when the test says so."""
+
+    def __init__(self, plan: api.Plan) -> None:
+        kind = api.RequestClass(aim=0.4, deadline=1.2)
+        self.gateways = [
+            LetIn(api.Settings(n, 2, (kind,), (plan,), tick=0.002, may_count=True, ahead=17.0), n, 0.0)
+            for n in (0, 1)
+        ]
+        self.total, self.request = 0.0, 0
+
+    def ask(self, now: float, number: int) -> list[api.Count]:
+        self.request += 1
+        event = api.RequestArrived(self.request, 0, 0, 7, 1.2, 1.0, 2, 0)
+        return [a for a in self.gateways[number].handle(now, event) if isinstance(a, api.Count)]
+
+    def answer(self, now: float, number: int, call: api.Count) -> list[api.Count]:
+        self.total += call.amount
+        told = api.Counted(call.name, Outcome.OK, self.total)
+        return [a for a in self.gateways[number].handle(now, told) if isinstance(a, api.Count)]
+
+    def settle(self, now: float, number: int, calls: list[api.Count]) -> None:
+        while calls:
+            calls += self.answer(now, number, calls.pop(0))
+
+
+def test_what_two_lift_at_the_same_time_is_lifted_once() -> None:
+    number = Number(api.Plan(rate=2.0, burst=8.0))
+    (first,), (second,) = number.ask(1.0, 0), number.ask(1.0, 1)
+    (lift,), (again,) = number.answer(1.0, 0, first), number.answer(1.0, 1, second)
+    assert lift.amount > 30.0 and again.amount > 30.0, "18 s of the epoch ran over"
+    number.settle(1.0, 0, [lift])
+    number.settle(1.0, 1, [again])
+    assert number.total == pytest.approx(2.0 * 18.0 + 2.0, abs=1.5)
+
+
+def test_what_went_beyond_a_quota_takes_nothing_from_what_comes_in_later() -> None:
+    number = Number(api.Plan(rate=2.0, burst=8.0))
+    number.settle(1.0, 0, number.ask(1.0, 0))
+    number.total += 100.0  # let in while the counter was silent
+    number.settle(6.0, 0, number.ask(6.0, 0))
+    number.settle(8.0, 0, number.ask(8.0, 0))
+    assert number.gateways[0].customers[7].store.level > 2.0, "it would be empty for 45 s"
+    assert number.total < 2.0 * (17.0 + 8.0) + 8.0
+
+
 class Capped:
     """Ingresses of one firm whose plan only caps attempts out; nothing tells an ingress of the others' attempts."""
 
