--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -12,7 +12,7 @@
 TOLD_RESERVE, TOLD_LOW = 0.05, 0.2  # the same where messages tell what the others let in
 CAP_USE = 0.5  # of a cap on attempts out that is used on average: chance alone fills the rest
 EPOCH, LIFE = 40.0, 60.0  # s that a customer's number on the counter counts, and lives
-CLEAR, LAG = 0.5, 0.5  # of a burst: left, so that nobody need be asked; that the counter's number may lack
+CLEAR, LAG, BACK = 0.5, 0.5, 0.1  # of a burst: left, so that nobody is asked; not lifted yet; lifted twice
 TRIES, MUTE = 3, 0.3  # failed calls that mute the counter; s for which
 METER_FRESH = 2.5  # periods of the meter that its word counts
 CHEAP, DEAR = 0.6, 2.0  # of the bound on the wait: for the cheapest, for the dearest
@@ -84,7 +84,7 @@
         clock = self.now + self.s.ahead
         c.calling = (self.now - clock % EPOCH, c.unsaid, c.due)
         name = key << 24 | int(clock / EPOCH) & 0xFFFFFF
-        self.actions.append(api.Count(name, c.unsaid + c.lift, LIFE))
+        self.actions.append(api.Count(name, round(c.unsaid + c.lift, 3), LIFE))
         c.unsaid = c.due = c.lift = 0.0
 
     def _counted(self, e: api.Counted) -> None:
@@ -114,7 +114,7 @@
         waiting, c.waiting = c.waiting, []
         for call in [self.calls[r] for r in waiting if r in self.calls]:
             self._decide(call.ask, call, c)
-        unlifted = c.lift and (lift or (abs(c.lift) > LAG * plan.burst and (units or c.lift < 0)))
+        unlifted = abs(c.lift) > (BACK if lift else LAG) * plan.burst and (lift or units or c.lift < 0)
         if e.outcome is Outcome.OK and c.calling is None and (c.unsaid or unlifted):
             self._call(e.name >> 24, c)
         c.due = c.lift = 0.0  # they hold for this moment
