See a client leave behind a pipeline or a flood within a tenth of a second

Need: an attempt that begins more than 0.1 s after its client's close is a break. Forced on sockets, with each turn of the loop held for 0 and for 50 ms, with an end and with a reset: 59 commands at once and a close were begun up to 0.36 s after it where turns took 50 ms; behind QUIT and 9 MB an attempt began 0.19 s after the close with no hold at all. 5 of 12 failed. Cause: `Inbound._run` read nothing while a read's commands had their turns of eight, and read what stands behind the last command in pieces of 256 KiB with 10 or 50 ms between them, so that an end behind it came late.

Change: between two turns a connection reads on, 64 KiB ahead at the most; behind the last command all that lies there is read in a row, up to 16 MiB, and where the loop is slow its turns are pause enough.

--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -31,7 +31,9 @@
 MOST_WAITING = 128  # commands of one connection without an answer
 MOST_BAD = 16  # commands of one connection that cannot be served
 FLOOD = 4 * 1024 * 1024  # bytes behind the last command, read as they come: an end may stand behind them
-PAUSE, LONG_PAUSE = 0.01, 0.05  # s between reads of a client that sends on and on there; where it is a flood
+PAUSE, LONG_PAUSE = 0.01, 0.03  # s between reads of a client that sends on and on there; where it is a flood
+DROPS = 64  # reads in a row there: 16 MiB, more than two systems hold, so that an end behind it is seen
+AHEAD = 64 * 1024  # bytes read while commands before them wait for their turn, for the same reason
 UNREAD = 5_000.0  # for a client to read an answer
 SILENCE = 1_500.0  # for a new connection to say something
 HEAD = 3_000.0  # for a command that has begun to be whole: a slow client takes 2 s for a head
@@ -84,6 +86,7 @@
         self._reader, self._bounds = resp.reader(), resp.command_bounds()
         self._bad = 0  # commands that could not be served
         self._ignored = 0  # bytes read after the last command
+        self._ahead = 0  # bytes read while commands before them were waiting
         self._last = False  # no command after those pending is answered
         self._closed = False
         self.surplus = surplus  # over the budget of descriptors: told to come again, and closed
@@ -221,11 +224,14 @@
             while size := await self._loop.sock_recv_into(self.sock, _dropped if self._last else buffer):
                 if self._last:
                     self._ignored += size
+                    if not self._drop():
+                        break
                     if self._ignored > MOST_IGNORED:
                         if self.idle:
                             break
-                        # An answer is owed: no close, but little work.
-                        await asyncio.sleep(PAUSE if self._ignored < FLOOD else LONG_PAUSE)
+                        # An answer is owed: no close, but little work; where turns are long they are pause enough.
+                        pause = PAUSE if self._ignored < FLOOD else LONG_PAUSE
+                        await asyncio.sleep(0.0 if self._host.pulse.slow else pause)
                     continue
                 self._host.traffic.client_in += size
                 self._feed(bytes(buffer[:size]))
@@ -237,13 +243,47 @@
                         return
                     if more:
                         await asyncio.sleep(0)
-                self._beat = self._host.pulse.last
+                        if not self._read_ahead():
+                            self.close()
+                            return
+                self._ahead, self._beat = 0, self._host.pulse.last
         except OSError:
             pass
         except Exception:
             logger.exception("an inbound connection failed")
         self.close()
 
+    def _read_ahead(self) -> bool:
+        """Between two turns: what has come, so that an end behind it is seen at once. False at an end."""
+        if self._ahead >= AHEAD:
+            return True
+        try:
+            data = self.sock.recv(BUFFER)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        self._ahead += len(data)
+        self._host.traffic.client_in += len(data)
+        since = self.since  # of the commands that wait: these came no earlier
+        self._feed(data)
+        self.since = since
+        return bool(data)
+
+    def _drop(self) -> bool:
+        """Read what lies there behind the last command; False at an end."""
+        for _ in range(DROPS):
+            try:
+                size = self.sock.recv_into(_dropped)
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError:
+                return False
+            if not size:
+                return False
+            self._ignored += size
+        return True
+
     def _feed(self, data: bytes) -> None:
         bounds, self.used = self._bounds, self._host.clock.now()
         pulse = self._host.pulse
--- a/dockthread/net/pulse.py
+++ b/dockthread/net/pulse.py
@@ -30,6 +30,11 @@
     def __init__(self, now: float) -> None:
         self.since = self.last = now
 
+    @property
+    def slow(self) -> bool:
+        """Whether the loop was held between the last two beats."""
+        return self.last - self.since > HELD * PERIOD
+
     def late(self, came: float, now: float) -> float:
         """By how much what came after `came`, as far as is known, may be read late at `now`; 0 where nothing held
         the loop since."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,8 +6,9 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from functools import partial
 from itertools import permutations
 from typing import Any
@@ -16,7 +17,7 @@
 
 from dockthread import api
 from dockthread.clock import ManualClock
-from dockthread.net import inbound, outbound
+from dockthread.net import inbound, outbound, resp
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
 from tests.loopback import (
@@ -331,3 +332,70 @@
             assert [e.request for e in events if isinstance(e, api.ClientGone)] == [second]
 
     run(scenario())
+
+
+@contextmanager
+def held(seconds: float) -> Iterator[None]:
+    """Each turn of the loop takes that much longer."""
+    loop, on = asyncio.get_running_loop(), True
+
+    def hold() -> None:
+        time.sleep(seconds)
+        if on:
+            loop.call_soon(hold)
+
+    loop.call_soon(hold)
+    try:
+        yield
+    finally:
+        on = False
+
+
+def leaves_in_a_pipeline(sock: socket.socket) -> None:
+    sock.sendall(b"".join(request(n) for n in range(1, 60)))
+
+
+def leaves_behind_a_flood(sock: socket.socket) -> None:
+    """The first attempt fails some time after the close, which stands behind what this sends."""
+    sock.sendall(request(1) + command(b"QUIT") + b"x" * 9_000_000)
+
+
+def leaves_with_one(sock: socket.socket) -> None:
+    sock.sendall(request(1))
+
+
+@pytest.mark.parametrize("holds", [0.0, 0.05])
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("leaves", [leaves_with_one, leaves_in_a_pipeline, leaves_behind_a_flood])
+def test_no_attempt_begins_more_than_a_tenth_of_a_second_after_its_client_left(
+    leaves: Callable[[socket.socket], None], resets: bool, holds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    begun, onward = list[float](), resp.Ask.onward
+
+    def noted(ask: resp.Ask, left: float) -> bytes:
+        begun.append(time.monotonic())
+        return onward(ask, left)
+
+    async def fails_late(args: list[bytes]) -> bytes | None:
+        await asyncio.sleep(max(0.0, left[0] + 0.11 - time.monotonic()) if left else 0.2)
+        return b"-BUSY\r\n"
+
+    monkeypatch.setattr(resp.Ask, "onward", noted)
+    left = list[float]()
+
+    def client(port: int) -> None:
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            if resets:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            with suppress(ConnectionError):  # it floods, and was answered and cut off meanwhile
+                leaves(sock)
+        left.append(time.monotonic())
+
+    async def scenario() -> None:
+        async with serving(*(Backend(fails_late) for _ in range(4))) as (ingress, _, _):
+            with held(holds):
+                await asyncio.to_thread(client, ingress.address.port)
+                await asyncio.sleep(0.5)
+            assert not [at - left[0] for at in begun if at > left[0] + 0.1]
+
+    run(scenario())
