Force a client's leaving in each wait: for a worker, the counter, a pause

Six cases, on sockets, with an end and with a reset, while each turn of the loop takes 50 ms more; what the request waits for comes 0.1 s after the close. No change of the program.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,9 @@
 from dockthread.net import inbound, outbound, resp
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
+from dockthread.operator_file.quantities import Duration
+from dockthread.routes.options import RouteOptions
+from dockthread.routes.table import Table
 from tests.loopback import (
     SETTINGS,
     Backend,
@@ -31,7 +34,7 @@
     target,
     until,
 )
-from tests.test_rules_on_sockets import a_call, collect, hangs
+from tests.test_rules_on_sockets import a_call, collect, fails, hangs
 
 VALUE = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
@@ -399,3 +402,48 @@
             assert not [at - left[0] for at in begun if at > left[0] + 0.1]
 
     run(scenario())
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("waits_for", ["a worker", "the counter", "a pause"])
+def test_a_request_that_waits_is_not_sent_on_once_its_client_left(
+    waits_for: str, resets: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What it waits for comes 0.1 s after the close, while each turn of the loop takes 50 ms more."""
+
+    async def scenario() -> None:
+        backend, other, counter = Backend(fails), Backend(fails), Backend(hangs)
+        changes: dict[str, Any] = {"counter": f"127.0.0.1:{await counter.start()}"}
+        changes["settings"] = SETTINGS | {
+            "Packages": [{"Name": "gross", "Refill": 10.0, "PeakUnits": 3.0}],
+            "Domain": {"Largest": 4, "MayCount": waits_for == "the counter", "CounterTimeout": 10_000_000},
+        }
+        backends = (backend, other) if waits_for == "a pause" else (backend,)
+        async with serving(*backends, **changes) as (ingress, _, discovery):
+            port = backend.server.sockets[0].getsockname()[1]
+            if waits_for == "a worker":
+                discovery.push(message(2, target("s-0", port, "leaving")))
+                await until(lambda: ingress.destinations.revision == 2)
+            if waits_for == "a pause":
+                table = Table(ingress.config.names, ingress.config.module.zone, 1)
+                pause = RouteOptions(backoff=Duration(300), backoff_max=Duration(300), retry_floor=100.0)
+                table.replace({"r": pause}, ingress.clock.now() / 1000.0)
+                ingress.routes = table
+                monkeypatch.setattr(table.spent["r"].rng, "uniform", lambda a, b: b)
+            with resting(ingress) as sock:
+                sock.sendall(request(1))
+                await until(lambda: ingress.requests and (waits_for != "a pause" or backend.seen or other.seen))
+                await until(lambda: waits_for != "the counter" or counter.seen)
+                if resets:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            before = ingress.traffic.calls
+            with held(0.05):
+                await asyncio.sleep(0.1)
+                if waits_for == "a worker":
+                    discovery.push(message(3, target("s-0", port)))
+                for writer in counter.writers:
+                    writer.write(b"$1\r\n2\r\n")
+                await asyncio.sleep(0.4)
+            assert ingress.traffic.calls == before == (waits_for == "a pause") and not ingress.requests
+
+    run(scenario())
