--- a/dockthread/distribution/fanout.py
+++ b/dockthread/distribution/fanout.py
@@ -30,6 +30,7 @@
 from dockthread.distribution.lag import Arrivals
 from dockthread.distribution.messages import (
     MOST_NAME,
+    MOST_REASON,
     MOST_REJECTIONS,
     NO_DIGEST,
     Acknowledge,
@@ -159,9 +160,11 @@
             raise UnexpectedMessage("it has not subscribed")
         cursor.heard_at = now
         if isinstance(message, Acknowledge):
+            if len(message.rejected) > MOST_REJECTIONS or any(_too_long(one) for one in message.rejected):
+                raise UnexpectedMessage("more or longer rejections than an acknowledgement may hold")
             standing = cursor.standing
             standing.at, standing.epoch, standing.revision = now, message.epoch, message.revision
-            standing.rejections, standing.rejected = message.rejections, message.rejected[:MOST_REJECTIONS]
+            standing.rejections, standing.rejected = message.rejections, message.rejected
 
     def next_frame(self, now: float, connection: int) -> bytes | None:
         """The next frame for a connection whose socket has room, ready to be written: an update, or a heartbeat that
@@ -319,3 +322,7 @@
         cursor.heartbeat_at = now
         age = NEVER if self._fresh_at is None else max(0.0, now - self._fresh_at)
         return codec.pack(Heartbeat(self.table.epoch, self.table.revision, age), self._key)
+
+
+def _too_long(rejection: Rejection) -> bool:
+    return max(len(rejection.kind), len(rejection.name)) > MOST_NAME or len(rejection.reason) > MOST_REASON
--- a/dockthread/distribution/in_force.py
+++ b/dockthread/distribution/in_force.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from dockthread.distribution.messages import MOST_REJECTIONS, Acknowledge, Rejection, Resource
+from dockthread.distribution.messages import MOST_REASON, MOST_REJECTIONS, Acknowledge, Rejection, Resource
 
 
 @dataclass(slots=True)
@@ -53,7 +53,9 @@
                 for resource in batch.resources:
                     self._rejections.pop((resource.kind, resource.name), None)
             self._held = batch.acknowledge
-        self._rejections.update({(one.kind, one.name): one for one in rejected})
+        for one in rejected:
+            shortened = Rejection(one.kind, one.name, one.revision, one.reason[:MOST_REASON])
+            self._rejections[one.kind, one.name] = shortened
         return True
 
     def acknowledge(self) -> Acknowledge:
--- a/dockthread/distribution/messages.py
+++ b/dockthread/distribution/messages.py
@@ -17,6 +17,7 @@
 MOST_BODY: Final = 64 << 10  # bytes of one resource's body
 MOST_NAME: Final = 128  # bytes of a kind or a name
 MOST_REJECTIONS: Final = 64  # in one acknowledgement
+MOST_REASON: Final = 256  # characters of a rejection's reason
 NO_DIGEST: Final = b""
 
 
--- a/dockthread/distribution/receiving.py
+++ b/dockthread/distribution/receiving.py
@@ -57,6 +57,8 @@
         """Raises `BadUpdate` or `WrongDigest`; then the connection is of no use any more."""
         if not update.epoch or (update.complete and not update.digest):
             raise BadUpdate("it names no epoch, or no digest where it is complete")
+        if update.horizon > update.revision:
+            raise BadUpdate(f"a horizon of {update.horizon} in an update to {update.revision}")
         if update.snapshot:
             self._staged = ResourceTable(update.epoch)
         into = self._table if self._staged is None else self._staged
--- a/dockthread/distribution/subscriber.py
+++ b/dockthread/distribution/subscriber.py
@@ -251,7 +251,7 @@
         self.counts.retries_later += 1
         self._disconnect(link, "the server has no room now")
         self._choice.avoid(link.server, now + self._times.failed_memory)
-        self._wait_until = now + min(max(after, 0.0), self._times.retry_most)
+        self._wait_until = now + (after if 0.0 <= after <= self._times.retry_most else self._times.retry_most)
 
     def _go_home(self, now: float, link: _Link) -> None:
         home = self._choice.home(now)
--- a/tests/test_distribution_cores.py
+++ b/tests/test_distribution_cores.py
@@ -250,6 +250,8 @@
     server.subscribe(0.0, 1, Subscribe("s1", region="east", zone="e2"))
     refused = Rejection("route", "r3", 3, "bad")
     server.heard(5.0, 1, Acknowledge("e1", 3, b"", (refused,), 1))
+    with pytest.raises(UnexpectedMessage, match="rejections"):
+        server.heard(6.0, 1, Acknowledge("e1", 3, b"", (Rejection("route", "r3", 3, "x" * 1_000),), 1))
     served.put(Resource("route", "r4", 4, b""))
     server.tick(100.0)
     server.closed(200.0, 1)
@@ -311,6 +313,7 @@
         Update("e1", 11, (Resource("route", "x", 11, bytes(MOST_BODY + 1)),), complete=False),
         Update("e1", 11, (Resource("ro\x00ute", "x", 11, b""),), complete=False),
         Update("", 11, (), complete=False),
+        Update("e1", 11, (), True, True, b"d", 12),
         Update("e1", 10, ()),
         Published("t", 3),
         Subscribe("i2"),
@@ -335,6 +338,15 @@
     assert not changed(other.heard(3.0, 1, snapshot(table(3, "e2"), 1 << 20)[0])) and other.table.epoch == "e1"
 
 
+@pytest.mark.parametrize("after", [float("nan"), float("inf"), -1.0, 1e9])
+def test_no_answer_of_a_server_makes_it_wait_for_longer_than_its_own_bound(after: float) -> None:
+    one = receiving()
+    one.heard(2.0, 1, RetryLater(after, "full"))
+    assert one.server == "" and one.due() == 2.0 + SubscriberTimes().retry_most
+    one.heard(3.0, 1, Heartbeat("e1", 0, float("nan")))
+    assert any(isinstance(action, Connect) for action in one.tick(one.due()))
+
+
 def test_silence_and_a_missing_answer_are_noticed_and_the_next_server_is_taken() -> None:
     one = receiving()
     first = one.server
