--- a/dockthread/lab/distribution/faults.py
+++ b/dockthread/lab/distribution/faults.py
@@ -13,9 +13,10 @@
 
 FAULTS: Final = (
     "delay", "break", "kill", "stall", "wave", "zone", "regions", "distributors", "voters", "slow", "spoil", "rot",
-    "uplink",
+    "uplink", "history",
 )  # fmt: skip
 SINGLE: Final = ("break", "kill", "stall", "wave", "zone", "voter", "slow", "uplink", "region")  # one at a time
+LAST_HISTORY: Final = 18_000.0  # ms into a story
 STALL: Final = (100.0, 12_000.0)  # ms for which a process is held still
 HOUR: Final = 3_600_000.0  # ms
 RESTART: Final = (50.0, 3_000.0)  # ms until a process that died is started
@@ -142,6 +143,17 @@
             if self._rng.random() < 0.7:
                 self._restart(voter)
 
+    def _history(self) -> None:
+        """All voters lose their disks, and staff begin a new log. Once a story, with time left for changes in it."""
+        world = self._world
+        if world.histories > 1 or world.clock.now > LAST_HISTORY:
+            return
+        world.histories += 1
+        world.checker.began_anew()
+        for voter in world.voters:
+            voter.lose_disk()
+            self._restart(voter)
+
     def _slow(self) -> None:
         ingress = self._rng.choice(self._world.ingresses)
         self._world.network.slow[ingress.name] = self._rng.uniform(0.05, 0.8)
--- a/dockthread/lab/distribution/plants.py
+++ b/dockthread/lab/distribution/plants.py
@@ -146,6 +146,13 @@
         self._times = replace(self._times, stale=FOREVER)
 
 
+class AnyHistory(Subscriber):
+    """Whatever history a server tells counts."""
+
+    def _other_history(self, *args: Any) -> bool:
+        return False
+
+
 class StaleSnapshotServed(Fanout):
     """The cached snapshot counts as the table of now."""
 
@@ -214,6 +221,7 @@
     "silence-unnoticed": Plant("single", ("stall", "zone"), subscriber=SilenceUnnoticed),
     "stale-server-kept": Plant("single", ("uplink",), subscriber=StaleServerKept),
     "always-fresh": Plant("single", ("uplink",), fanout=AlwaysFresh),
+    "any-history": Plant(faults=("history", "uplink", "break", "distributors"), subscriber=AnyHistory),
     "stale-snapshot-served": Plant(fanout=StaleSnapshotServed, subscriber=DigestUnchecked),
     "stale-deltas": Plant(fanout=StaleDeltas, subscriber=DigestUnchecked),
     "parts-at-once": Plant(subscriber=PartsAtOnce),
--- a/dockthread/lab/distribution/voter.py
+++ b/dockthread/lab/distribution/voter.py
@@ -38,6 +38,10 @@
         self._replies: dict[str, list[Reply]] = {}
         self._current_at: float | None = None
 
+    def lose_disk(self) -> None:
+        self.kill()
+        self.disk = Stored()
+
     def due(self) -> float:
         return min(self.core.due(), self.server.fanout.due())
 
--- a/dockthread/lab/distribution/world.py
+++ b/dockthread/lab/distribution/world.py
@@ -83,6 +83,7 @@
         limits = self.settings.limits
         self.checker = Checker(limits.snapshot_burst, limits.snapshot_rate, limits.part * 2.0)
         self.record: list[str] = []
+        self.histories = 1
         self._plant: Plant = PLANTS[plant] if plant else Plant()
         self._single, self._hour = single, hour
         drawn = tuple(SINGLE if single else [f for f in FAULTS if self.rng.random() < 0.4])
