Let an overbooked discovery recover: pauses grow again once it served nothing for 20 s

Cause: with every pause within 5 s, 200 ingresses call a service of one call in 0.13 s, which also works on calls that it gave up after 2 s, 40 times a second. Change: a service that takes connections and has served nothing for 20 s is asked in pauses that grow with the fleet; one that cannot be reached still within the window.

--- a/dockthread/net/watch.py
+++ b/dockthread/net/watch.py
@@ -8,10 +8,14 @@
 all callers wait.
 
 Where lists are asked for, discovery is one service for all ingresses: there the pauses grow with the fleet, up to the
-window (module/backoff.py). Where lists are pushed, an agent on this machine answers each call at once and at no cost
-with what it has been sent, and what it has counts as told to this ingress, watch or not, from the first moment of a
-process. So no pause is longer there than half of a drain's grace either: the first call goes at the start, and until
-it is answered, or that time is over, nothing is sent by the old list that lay in the configuration.
+window (module/backoff.py). One that takes connections and has served nothing for `OVERBOOKED` works on calls that
+were given up: as long as all come back within the window it would serve nobody, ever, so from then on the pauses grow
+with the fleet beyond it. One that cannot be reached is asked within the window: that costs nobody anything.
+
+Where lists are pushed, an agent on this machine answers each call at once and at no cost with what it has been sent,
+and what it has counts as told to this ingress, watch or not, from the first moment of a process. So no pause there is
+longer than half of a drain's grace: the first call goes at the start, and until it is answered, or that time is over,
+nothing is sent by the old list that lay in the configuration.
 """
 
 from __future__ import annotations
@@ -19,6 +23,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterator
+from math import inf
 from typing import Any
 
 import httptools
@@ -43,6 +48,7 @@
 PATIENCE = 4_500.0  # for the first word of a call, where lists are asked for: it may wait behind those of the fleet
 SOON = WINDOW - HALF  # for the pause after a watch that was given up, at the most
 LEAST_PAUSE = 100.0  # between calls on an agent that refuses them
+OVERBOOKED = 20_000.0  # for which a service that can be reached serves nothing: it has more callers than it can serve
 
 
 class WatchParser:
@@ -146,7 +152,7 @@
         self._pushed = not settings.must_ask_for_list
         self._hurry = settings.safety.drain_grace * 1000.0 / 2
         self._patience = SILENCE if self._pushed else PATIENCE
-        longest = min(WINDOW, max(self._hurry, LEAST_PAUSE)) if self._pushed else WINDOW
+        longest = min(WINDOW, max(self._hurry, LEAST_PAUSE)) if self._pushed else inf
         self._backoff = Backoff(random.Random(seed), settings.gateways, min(self._hurry, SOON), longest)
         self._cached: api.WorkersListed | None = None  # the old list, while a newer one may come at once
         self._address, self._destinations, self._clock, self._told = address, destinations, clock, told
@@ -157,6 +163,8 @@
         self._moved = False  # since the present call began
         self._pause_over = asyncio.Event()
         self._failures = 0
+        self._failing_since = clock.now()  # nothing was served
+        self._connected = False  # the present call, or the last one
         self._stood = False  # the present watch has said something
         self._given_up = 0.0  # when one that has said nothing yet is, once it has been silent for long; 0 before
         self.observer = Observer()
@@ -200,12 +208,12 @@
             await self._pause(self._backoff.soon())
         while True:
             self._began = self._heard = self._whole = self._clock.now()
-            self._stood = self._moved = False
+            self._stood = self._moved = self._connected = False
             self.observer.event("watch", after=self._destinations.revision)
             self._attempt = asyncio.create_task(self._watch())
             (failure,) = await asyncio.gather(self._attempt, return_exceptions=True)
             if self._moved:
-                self._given_up = 0.0
+                self._given_up, self._failing_since = 0.0, self._clock.now()
                 continue
             waited, self._given_up = self._given_up > 0, 0.0
             self._failures += 1
@@ -214,7 +222,7 @@
             log = logger.warning if self._failures == 1 else logger.debug
             log("watch on discovery ended: {!r}; list at revision {}", failure, self._destinations.revision)
             if not waited:
-                await self._pause(self._backoff.soon() if self._stood else self._backoff.again())
+                await self._pause(self._backoff.soon() if self._stood else self._again(WINDOW))
 
     def check(self) -> None:
         """End a watch that has gone silent, or does not come to the end of an object: its machine may have
@@ -228,14 +236,20 @@
         if self._attempt is None or not silent:
             return
         if not self._stood and not self._given_up:
-            self._given_up = now + self._backoff.again(self._began + WINDOW - now)
+            self._given_up = now + self._again(self._began + WINDOW - now)
         if now >= self._given_up:
             self._attempt.cancel()
 
+    def _again(self, most: float) -> float:
+        """The pause after one more call that failed, `most` at the most where discovery may be free to serve."""
+        overbooked = self._connected and self._clock.now() - self._failing_since > OVERBOOKED
+        return self._backoff.again(inf if overbooked else most)
+
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
         with self._address.new_socket() as sock:
             await loop.sock_connect(sock, (self._address.host, self._address.port))
+            self._connected = True
             path = f"/discovery/hosts?watch=1&after={self._destinations.revision}"
             head = f"GET {path} HTTP/1.1\r\nHost: {self._address}\r\nAccept: application/json\r\n\r\n"
             await loop.sock_sendall(sock, head.encode())
@@ -245,6 +259,8 @@
                 if not size:
                     raise WatchError("discovery closed the connection")
                 self._heard = self._clock.now()
+                if parser.stood:
+                    self._failing_since = self._heard
                 for message in parser.feed(memoryview(buffer)[:size]):
                     for listed in self._destinations.parts(message):
                         self._use_cached()
