--- a/tests/test_distribution_cores.py
+++ b/tests/test_distribution_cores.py
@@ -332,6 +332,7 @@
     one = receiving(table(10))
     one.heard(2.0, 1, Heartbeat("e2", 3, 0.0))
     assert changed(one.heard(3.0, 1, snapshot(table(3, "e2"), 1 << 20)[0])) and one.table.epoch == "e2"
+    assert not changed(one.heard(4.0, 1, snapshot(table(12), 1 << 20)[0])) and one.table.epoch == "e2", "it was left"
     other = subscriber(table(10))
     other.tick(0.0)
     other.connected(1.0, 1)
