--- a/tests/test_distribution_simulated.py
+++ b/tests/test_distribution_simulated.py
@@ -32,7 +32,7 @@
     assert told.exit_code == 0
     assert tuple(json.loads(told.output)["record"]) == story("drawn", 3).record
     found = CliRunner().invoke(
-        lab, ["distribution", "seeds", "--seeds", "0..0", "--plant", "older-applied", "--json"]
+        lab, ["distribution", "seeds", "--seeds", "3..3", "--plant", "older-applied", "--json"]
     )
     assert found.exit_code == 1 and json.loads(found.output)["broken"][0]["rule"] == "no-older"
     assert CliRunner().invoke(lab, ["distribution", "seeds", "--plant", "nothing"]).exit_code == 2
