--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -120,7 +120,7 @@
             return replace(entry, state=api.WorkerState.DRAINING)
         return entry
 
-    def hall(self, uid: str) -> str | None:
+    def zone_of(self, uid: str) -> str | None:
         """Where a destination stands, as discovery says; empty where that is not known, None for none of this uid."""
         known = self._by_uid.get(uid)
         if known is None or known.told is None:
--- a/dockthread/work/host.py
+++ b/dockthread/work/host.py
@@ -181,7 +181,7 @@
     def _command(self, call: Command) -> words.Command | Answer:
         """What is to be agreed on, or the answer that says why not."""
         target, more, ask = call.target, call.more, call.verb is Verb.WORK_ASK
-        zone, ingress = self._ingress.destinations.hall(target), target in self.member.members
+        zone, ingress = self._ingress.destinations.zone_of(target), target in self.member.members
         if ask and zone is None and not ingress:
             return Answer(404, f"no backend {target} here, and no ingress of this name\n".encode())
         if not ask and target not in self.order.requests:
--- a/dockthread/work/sight.py
+++ b/dockthread/work/sight.py
@@ -35,7 +35,7 @@
     pressed = gateway.slow > PRESSED * gateway.tight
     zones: dict[str, list[tuple[str, Worker]]] = {}
     for uid, worker in _listed(ingress):
-        zones.setdefault(destinations.hall(uid) or "", []).append((uid, worker))
+        zones.setdefault(destinations.zone_of(uid) or "", []).append((uid, worker))
     seen = tuple(
         Seen(
             zone,
@@ -47,4 +47,4 @@
         for zone in sorted(set(targets.values()))
         if (nodes := zones.get(zone))
     )
-    return View(seen, tuple(uid for uid in sorted(targets) if destinations.hall(uid) is not None), since)
+    return View(seen, tuple(uid for uid in sorted(targets) if destinations.zone_of(uid) is not None), since)
