Hold added latency for not measured where the machine itself is late

Cause: on a shared machine with a load average of 55 a run said that changes added 22.6 ms at p99, and an idle process's timers were late by as much: the figure told of the machine.

No bound is wider for it.

--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -199,6 +199,13 @@
             why += [f"too few samples: {report[kind]['samples']} changes of the {kind}"] * few
     if math.isfinite(bounds.added):
         why += _latency_voids(report["latency"])
+        why += [
+            f"the machine itself was late: an idle process ran one timer in a hundred {late:g} ms late in the"
+            f" {window.name} window, over the {bounds.added:g} ms of added latency that were to be seen"
+            for window in (run.quiet, run.busy)
+            for _, after in window.states["baseline"]
+            if (late := after["late"]["p99"]) > bounds.added
+        ]
     return why
 
 
