--- a/dockthread/distribution/fanout.py
+++ b/dockthread/distribution/fanout.py
@@ -30,7 +30,9 @@
 from dockthread.distribution.lag import Arrivals
 from dockthread.distribution.messages import (
     MOST_NAME,
+    MOST_REASON,
     MOST_REJECTIONS,
+    NO_DIGEST,
     Acknowledge,
     Heartbeat,
     Rejection,
@@ -101,7 +103,7 @@
     snapshot: Snapshot | None = None  # under way
     wants_snapshot: bool = False
     part: int = 0
-    confirmed: bool = False  # it was told that what it holds is complete, with the digest
+    confirmed: bytes = NO_DIGEST  # the last digest that it was told, where nothing was handed over since
     owed: float = 0.0  # bytes of the snapshot
     heartbeat_at: float = NEVER_SENT
     replaced: bool = False  # by another connection of the same name
@@ -158,9 +160,11 @@
             raise UnexpectedMessage("it has not subscribed")
         cursor.heard_at = now
         if isinstance(message, Acknowledge):
+            if len(message.rejected) > MOST_REJECTIONS or any(_too_long(one) for one in message.rejected):
+                raise UnexpectedMessage("more or longer rejections than an acknowledgement may hold")
             standing = cursor.standing
             standing.at, standing.epoch, standing.revision = now, message.epoch, message.revision
-            standing.rejections, standing.rejected = message.rejections, message.rejected[:MOST_REJECTIONS]
+            standing.rejections, standing.rejected = message.rejections, message.rejected
 
     def next_frame(self, now: float, connection: int) -> bytes | None:
         """The next frame for a connection whose socket has room, ready to be written: an update, or a heartbeat that
@@ -301,20 +305,24 @@
     def _end_snapshot(self, cursor: _Cursor, snapshot: Snapshot) -> None:
         self._budget.settle(cursor.owed)
         cursor.owed, cursor.snapshot = 0.0, None
-        cursor.epoch, cursor.revision, cursor.confirmed = snapshot.epoch, snapshot.revision, True
+        cursor.epoch, cursor.revision, cursor.confirmed = snapshot.epoch, snapshot.revision, snapshot.digest
         cursor.heartbeat_at = min(cursor.heartbeat_at, NEVER_SENT)  # how fresh it is now
 
     def _delta(self, cursor: _Cursor) -> bytes | None:
         table = self.table
         if cursor.epoch != table.epoch or not table.can_resume(cursor.revision):
             return None  # nothing here yet, or the table is behind
-        if cursor.revision == table.revision and (cursor.confirmed or not table.whole):
+        if cursor.revision == table.revision and (cursor.confirmed == table.digest or not table.whole):
             return None
         delta = self._cache.delta(cursor.revision)
-        cursor.revision, cursor.confirmed = delta.revision, delta.complete
+        cursor.revision, cursor.confirmed = delta.revision, delta.digest
         return delta.frame
 
     def _heartbeat(self, now: float, cursor: _Cursor) -> bytes:
         cursor.heartbeat_at = now
         age = NEVER if self._fresh_at is None else max(0.0, now - self._fresh_at)
         return codec.pack(Heartbeat(self.table.epoch, self.table.revision, age), self._key)
+
+
+def _too_long(rejection: Rejection) -> bool:
+    return max(len(rejection.kind), len(rejection.name)) > MOST_NAME or len(rejection.reason) > MOST_REASON
--- a/dockthread/distribution/in_force.py
+++ b/dockthread/distribution/in_force.py
@@ -6,14 +6,14 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from dockthread.distribution.messages import MOST_REJECTIONS, Acknowledge, Rejection, Resource
+from dockthread.distribution.messages import MOST_REASON, MOST_REJECTIONS, Acknowledge, Rejection, Resource
 
 
 @dataclass(slots=True)
 class _Batch:
     number: int
     acknowledge: Acknowledge  # once it is in force, without rejections
-    keys: list[tuple[str, str]]
+    resources: Sequence[Resource]
 
 
 class InForce:
@@ -33,7 +33,7 @@
     def give(self, resources: Sequence[Resource], then: Acknowledge) -> int:
         """The number of a new batch; `then` holds once it is in force."""
         self._given += 1
-        self._batches.append(_Batch(self._given, then, [(one.kind, one.name) for one in resources]))
+        self._batches.append(_Batch(self._given, then, resources))
         return self._given
 
     def unchanged(self, then: Acknowledge) -> None:
@@ -49,10 +49,13 @@
             return False
         while self._batches and self._batches[0].number <= number:
             batch = self._batches.popleft()
-            for key in batch.keys:
-                self._rejections.pop(key, None)
+            if self._rejections:
+                for resource in batch.resources:
+                    self._rejections.pop((resource.kind, resource.name), None)
             self._held = batch.acknowledge
-        self._rejections.update({(one.kind, one.name): one for one in rejected})
+        for one in rejected:
+            shortened = Rejection(one.kind, one.name, one.revision, one.reason[:MOST_REASON])
+            self._rejections[one.kind, one.name] = shortened
         return True
 
     def acknowledge(self) -> Acknowledge:
--- a/dockthread/lab/distribution/voter.py
+++ b/dockthread/lab/distribution/voter.py
@@ -38,6 +38,10 @@
         self._replies: dict[str, list[Reply]] = {}
         self._current_at: float | None = None
 
+    def lose_disk(self) -> None:
+        self.kill()
+        self.disk = Stored()
+
     def due(self) -> float:
         return min(self.core.due(), self.server.fanout.due())
 
@@ -121,6 +125,7 @@
 
     def _apply(self, index: int, data: bytes) -> None:
         self.publishing.apply(index, data)
+        self.world.checker.accepted(self.world.clock.now, self.publishing.table.revision)
         for token in list(self._replies):
             answer = self.publishing.answer(token)
             if answer is not None:
