--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -14,7 +14,7 @@
 
 VERSION: Final = 1
 LEAST_CHANGES: Final = 10  # in force and measured, for a figure of lag
-LEAST_REQUESTS: Final = 1000  # in each window, for a figure of latency
+LEAST_ANSWERS: Final = 1000  # in each window, for a figure of latency
 MOST_SHARE: Final = 90.0  # percent of a core: a process of the tool that uses more has no time left to be on time
 RATES: Final = (
     "bytes_in_s", "bytes_out_s", "configuration_bytes_in_s", "configuration_bytes_out_s", "messages_s", "connections",
@@ -170,6 +170,7 @@
             name: round(times.get_value_at_percentile(at) / 1000.0, 3) for name, at in marks.items()
         }
         found[window.name] |= {"requests": outcome.asked, "served": outcome.total("served"), "void": outcome.void}
+        found[window.name]["answered"] = sum(outcome.total(word) for word in ("served", "refused", "failed"))
     found["added_p99_ms"] = round(found["busy"]["p99_ms"] - found["quiet"]["p99_ms"], 3)
     return found
 
@@ -213,8 +214,8 @@
     if not found:
         return ["too few samples: added latency needs a real ingress under load"]
     why = [f"latency, {name} window: {found[name]['void']}" for name in ("quiet", "busy") if found[name]["void"]]
-    few = min(found[name]["requests"] for name in ("quiet", "busy"))
-    return why + ([f"too few samples: {few} requests in a window"] if few < LEAST_REQUESTS else [])
+    few = min(found[name]["answered"] for name in ("quiet", "busy"))
+    return why + ([f"too few samples: {few} answers in a window"] if few < LEAST_ANSWERS else [])
 
 
 def judged(report: dict[str, Any], bounds: Bounds) -> list[dict[str, Any]]:
