--- a/dockthread/routes/bounds.py
+++ b/dockthread/routes/bounds.py
@@ -57,6 +57,11 @@
 class Spent:
     """What a route's requests share, kept by the route's name over reloads."""
 
+    __slots__ = (
+        "_seen", "_times", "attempts", "budget", "copies", "copies_won", "copy_budget", "limit", "open", "queue",
+        "queue_wait", "queued", "refused_budget", "refused_limit", "requests", "rng",
+    )  # fmt: skip
+
     def __init__(self, budget: Budget | None, limit: Limit, queue: int, now: float, rng: random.Random) -> None:
         self.budget, self.limit, self.queue, self.rng = budget, limit, Queue(queue), rng
         self.copy_budget = Budget(1.0, 0.0, now)
--- a/dockthread/routes/budget.py
+++ b/dockthread/routes/budget.py
@@ -14,6 +14,10 @@
 
 
 class Budget:
+    """A token bucket that first tries fill. `part`: tokens a first try; `floor`: a second."""
+
+    __slots__ = ("_at", "_rate", "drawn", "floor", "left", "part", "refused")
+
     def __init__(self, part: float, floor: float, now: float) -> None:
         self.part, self.floor = part, floor
         self._at, self._rate = now, 0.0  # decayed rate of first tries
--- a/dockthread/routes/limit.py
+++ b/dockthread/routes/limit.py
@@ -28,6 +28,8 @@
 class Limit:
     """Requests at once. `most` is None where there is none."""
 
+    __slots__ = ("_at", "_best", "_cut_at", "_moved_at", "_short", "adaptive", "inside", "least", "limit", "most")
+
     def __init__(self, fixed: int | None, least: int = LEAST, most: int = MOST, adaptive: bool = False) -> None:
         self.adaptive, self.least, self.most = adaptive, least, most
         self.limit: float = math.inf if fixed is None else fixed
@@ -80,10 +82,12 @@
     """Requests that wait for room, the dearest first, then the longest waiting. Bounded: of too many the cheapest
     goes, or the newcomer where it is no dearer."""
 
+    __slots__ = ("_gone", "_heap", "_order", "most")
+
     def __init__(self, most: int) -> None:
         self.most = most
         self._heap: list[tuple[float, int, int]] = []  # minus worth, order, request
-        self._gone: set[int] = set()
+        self._gone: frozenset[int] = frozenset()  # mostly empty, and then one object for all queues
         self._order = 0
 
     def __len__(self) -> int:
@@ -110,18 +114,18 @@
     def leave(self, request: int) -> None:
         """A request that waits no longer."""
         if any(entry[2] == request for entry in self._heap):
-            self._gone.add(request)
+            self._gone |= {request}
 
     def take(self) -> int | None:
         while self._heap:
             _, _, request = heappop(self._heap)
             if request not in self._gone:
                 return request
-            self._gone.discard(request)
+            self._gone -= {request}
         return None
 
     def _tidy(self) -> None:
         if self._gone:
             self._heap = [entry for entry in self._heap if entry[2] not in self._gone]
-            self._gone.clear()
+            self._gone = frozenset()
             heapify(self._heap)
--- a/dockthread/routes/matcher.py
+++ b/dockthread/routes/matcher.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from dockthread.routes.bounds import BACKOFF_MAX, WORDS, Facts, Rules
 from dockthread.routes.options import RouteOptions
@@ -97,6 +97,7 @@
 
         self.classes, self.plans = numbered(names.classes), numbered(names.plans)
         self.zones, self.kinds = numbered(names.zones), numbered(names.kinds)
+        self._sets: dict[tuple[str, frozenset[Any]], frozenset[Any]] = {}  # by key: one for all routes alike in it
 
     def holds(self, o: RouteOptions, zone: int) -> bool:
         """Whether a route holds at the ingresses of a hall."""
@@ -107,15 +108,19 @@
         return Matcher(
             place=place,
             rules=rules_of(name, o, self.zones, self.kinds),
-            classes=frozenset(self.classes[c] for c in o.classes),
-            plans=frozenset(self.plans[p] for p in o.plan),
-            write=frozenset(v == "write" for v in o.verb),
+            classes=self._shared("class", (self.classes[c] for c in o.classes)),
+            plans=self._shared("plan", (self.plans[p] for p in o.plan)),
+            write=self._shared("verb", (v == "write" for v in o.verb)),
             firms=o.firms,
             units=o.unit_range,
             retry=o.retry,
-            halls=frozenset(o.hall),
+            halls=self._shared("hall", o.hall),
         )
 
+    def _shared(self, key: str, members: Iterable[Any]) -> frozenset[Any]:
+        found = frozenset(members)
+        return self._sets.setdefault((key, found), found)
+
 
 def rules_of(name: str, o: RouteOptions, zones: Mapping[str, int], kinds: Mapping[str, int]) -> Rules:
     def seconds(value: float | None) -> float:
