--- a/dockthread/cli/lab_distribution.py
+++ b/dockthread/cli/lab_distribution.py
@@ -10,8 +10,8 @@
 
 from dockthread.cli.lab_fleet import BROKE, seeds_of
 from dockthread.lab.distribution.checker import Broken
-from dockthread.lab.distribution.plants import NAMES, PLANTS
-from dockthread.lab.distribution.seeds import SCENARIOS, Found, many, story
+from dockthread.lab.distribution.planted_bugs import NAMES, PLANTS
+from dockthread.lab.distribution.seeds import SCENARIOS, Found, many, play_seed
 
 
 @click.group("distribution")
@@ -41,7 +41,7 @@
 
 def worded(broken: Broken) -> dict[str, str | float]:
     """For JSON."""
-    return {"rule": broken.rule, "at": round(broken.at, 3), "story": broken.story}
+    return {"rule": broken.rule, "at": round(broken.at, 3), "detail": broken.detail}
 
 
 @distribution.command()
@@ -71,7 +71,7 @@
         click.echo(json.dumps({"scenario": scenario, "plant": plant, "played": played, "broken": broken}))
     else:
         for one in found:
-            click.echo(f"seed {one.seed}: {one.broken.rule} at {one.broken.at:.0f} ms: {one.broken.story}")
+            click.echo(f"seed {one.seed}: {one.broken.rule} at {one.broken.at:.0f} ms: {one.broken.detail}")
         click.echo(f"{played} seeds of {scenario}, {len(found)} broke a rule")
     sys.exit(BROKE if found else 0)
 
@@ -82,11 +82,11 @@
 @plant_option
 @json_option
 def replay(seed: int, scenario: str, plant: str, as_json: bool) -> None:
-    """One seed's story, line by line; the same each time."""
-    told = story(scenario, seed, plant)
+    """One seed's course, line by line; the same each time."""
+    told = play_seed(scenario, seed, plant)
     if as_json:
         click.echo(json.dumps({"record": told.record, "broken": [worded(one) for one in told.broken]}))
     else:
-        lines = [f"BROKEN {one.rule} at {one.at:.0f} ms: {one.story}" for one in told.broken]
+        lines = [f"BROKEN {one.rule} at {one.at:.0f} ms: {one.detail}" for one in told.broken]
         click.echo("\n".join([*told.record, *lines]))
     sys.exit(BROKE if told.broken else 0)
--- a/dockthread/cli/lab_fleet.py
+++ b/dockthread/cli/lab_fleet.py
@@ -12,13 +12,13 @@
 
 import click
 
-from dockthread.lab.fleet import turns_plants
-from dockthread.lab.fleet.plants import NAMES as AGREEMENT
+from dockthread.lab.fleet import turns_planted_bugs
+from dockthread.lab.fleet.planted_bugs import NAMES as AGREEMENT
 from dockthread.lab.fleet.scenario import ScenarioError, parse, shipped
-from dockthread.lab.fleet.seeds import SCENARIOS, many, story
+from dockthread.lab.fleet.seeds import SCENARIOS, many, play_seed
 
 BROKE, VOID = 1, 2
-NAMES = (*AGREEMENT, *turns_plants.NAMES)
+NAMES = (*AGREEMENT, *turns_planted_bugs.NAMES)
 LONGEST = 1_000_000  # seeds in one run
 
 
@@ -74,14 +74,14 @@
     broken: list[dict[str, Any]] = []
     for count, found in many(scenario, seeds, jobs, plant):
         played += count
-        broken += [{"seed": seed, "rule": b.rule, "at": round(b.at, 3), "story": b.story} for seed, b in found]
+        broken += [{"seed": seed, "rule": b.rule, "at": round(b.at, 3), "detail": b.detail} for seed, b in found]
         if plant and broken:
             break
     if as_json:
         click.echo(json.dumps({"scenario": scenario, "plant": plant, "played": played, "broken": broken}))
     else:
         for one in broken:
-            click.echo(f"seed {one['seed']}: {one['rule']} at {one['at']:.0f} ms: {one['story']}")
+            click.echo(f"seed {one['seed']}: {one['rule']} at {one['at']:.0f} ms: {one['detail']}")
         click.echo(f"{played} seeds of {scenario}, {len(broken)} broke a rule")
     sys.exit(BROKE if broken else 0)
 
@@ -116,12 +116,12 @@
     except Void as error:
         click.echo(f"{scenario}: void: {error}", err=True)
         sys.exit(VOID)
-    broken = [{"rule": b.rule, "at": round(b.at), "story": b.story} for b in verdict.broken]
+    broken = [{"rule": b.rule, "at": round(b.at), "detail": b.detail} for b in verdict.broken]
     if as_json:
         told = {"scenario": scenario, "ingresses": played.ingresses, "seed": seed, "broken": broken}
-        click.echo(json.dumps({**told, "asked": verdict.asked, "served": verdict.served, "story": verdict.story}))
+        click.echo(json.dumps({**told, "asked": verdict.asked, "served": verdict.served, "record": verdict.record}))
     else:
-        click.echo("\n".join(verdict.story))
+        click.echo("\n".join(verdict.record))
         click.echo(f"{scenario}: {verdict.served} of {verdict.asked} requests served, {len(broken)} rules broken")
     sys.exit(BROKE if broken else 0)
 
@@ -132,9 +132,9 @@
 @plant_option
 @json_option
 def replay(scenario: str, seed: int, plant: str, as_json: bool) -> None:
-    """One seed's story, line by line; the same each time."""
-    broken, record = story(SCENARIOS[scenario], seed, planted(plant))
-    told = [f"{b.rule} at {b.at:.0f} ms: {b.story}" for b in broken]
+    """One seed's course, line by line; the same each time."""
+    broken, record = play_seed(SCENARIOS[scenario], seed, planted(plant))
+    told = [f"{b.rule} at {b.at:.0f} ms: {b.detail}" for b in broken]
     if as_json:
         click.echo(json.dumps({"record": record, "broken": told}))
     else:
--- a/dockthread/cli/lab_scale.py
+++ b/dockthread/cli/lab_scale.py
@@ -18,7 +18,7 @@
 
 from dockthread.lab.scale.channel import ProcessError
 from dockthread.lab.scale.plan import FAULTS, Plan, PlanError, parse_changes
-from dockthread.lab.scale.plants import NAMES
+from dockthread.lab.scale.planted_bugs import NAMES
 from dockthread.lab.scale.usage import Gone
 from dockthread.operator_file.quantities import Duration, Share, Size
 
--- a/dockthread/lab/distribution/checker.py
+++ b/dockthread/lab/distribution/checker.py
@@ -35,11 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """A rule that did not hold: at which ms, and its story in words."""
+    """A rule that did not hold: at which ms, and what happened."""
 
     rule: str
     at: float
-    story: str
+    detail: str
 
 
 @dataclass(slots=True)
@@ -87,7 +87,7 @@
 
 
 def worded(changes: list[Asked]) -> str:
-    """For a story."""
+    """For a play."""
     return " or ".join(f"revision {one.revision} is {one.body!r}" for one in changes)
 
 
@@ -106,8 +106,8 @@
         self._revisions: list[int] = []
         self._accepted_at: list[float] = []  # of these revisions, anywhere
 
-    def _break(self, rule: str, at: float, story: str) -> None:
-        self.broken.append(Broken(rule, at, story))
+    def _break(self, rule: str, at: float, detail: str) -> None:
+        self.broken.append(Broken(rule, at, detail))
 
     # Publishing
 
@@ -180,8 +180,8 @@
         """An ingress puts a resource in force, or deletes it."""
         held, key = self._held[name], (resource.kind, resource.name)
         if resource.revision < held.resources.get(key, 0):
-            story = f"{name} puts {key} of revision {resource.revision} over {held.resources[key]}"
-            self._break("no-older", at, story)
+            detail = f"{name} puts {key} of revision {resource.revision} over {held.resources[key]}"
+            self._break("no-older", at, detail)
         held.resources[key] = resource.revision
 
     def converged(self, at: float, seen: Seen, due: int, latest: int) -> None:
--- a/dockthread/lab/distribution/faults.py
+++ b/dockthread/lab/distribution/faults.py
@@ -16,7 +16,7 @@
     "uplink", "history",
 )  # fmt: skip
 SINGLE: Final = ("break", "kill", "stall", "wave", "zone", "voter", "slow", "uplink", "region")  # one at a time
-LAST_HISTORY: Final = 18_000.0  # ms into a story
+LAST_HISTORY: Final = 18_000.0  # ms into a play
 STALL: Final = (100.0, 12_000.0)  # ms for which a process is held still
 HOUR: Final = 3_600_000.0  # ms
 RESTART: Final = (50.0, 3_000.0)  # ms until a process that died is started
@@ -144,7 +144,7 @@
                 self._restart(voter)
 
     def _history(self) -> None:
-        """All voters lose their disks, and staff begin a new log. Once a story, with time left for changes in it."""
+        """All voters lose their disks, and staff begin a new log. Once a play, with time left for changes in it."""
         world = self._world
         if world.histories > 1 or world.clock.now > LAST_HISTORY:
             return
--- a/dockthread/lab/distribution/seeds.py
+++ b/dockthread/lab/distribution/seeds.py
@@ -48,24 +48,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Story:
+class PlayedSeed:
     """One seed: what broke, and its record, the same each time."""
 
     broken: tuple[Broken, ...]
     record: tuple[str, ...]
 
 
-def story(name: str, seed: int, plant: str = "") -> Story:
+def play_seed(name: str, seed: int, plant: str = "") -> PlayedSeed:
     """Play one seed of a scenario."""
     scenario = SCENARIOS[name]
     world = World(seed, plant, single=scenario.single, hour=scenario.hour)
     broken = world.play()
-    return Story(tuple(broken), (f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record))
+    return PlayedSeed(tuple(broken), (f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record))
 
 
 def _play(name: str, seeds: range, plant: str) -> Chunk:
-    stories = [(seed, story(name, seed, plant)) for seed in seeds]
-    return Chunk(len(seeds), tuple(Found(seed, one.broken[0]) for seed, one in stories if one.broken))
+    played = [(seed, play_seed(name, seed, plant)) for seed in seeds]
+    return Chunk(len(seeds), tuple(Found(seed, one.broken[0]) for seed, one in played if one.broken))
 
 
 def many(name: str, seeds: range, jobs: int, plant: str = "") -> Iterator[Chunk]:
--- a/dockthread/lab/distribution/world.py
+++ b/dockthread/lab/distribution/world.py
@@ -1,4 +1,4 @@
-"""A whole distribution in simulated time: one seed, one story.
+"""A whole distribution in simulated time: one seed, one course of events.
 
 Three voters with the real agreement, one in each region; distributors; ingresses in the zones of the regions; one
 publisher. Each seed turns on a random subset of the faults; scenario `single` strikes one at a time and holds every
@@ -30,7 +30,7 @@
 from dockthread.lab.distribution.ingress import Ingress
 from dockthread.lab.distribution.network import AGAIN, Clock, Network
 from dockthread.lab.distribution.nodes import Distributor, Process
-from dockthread.lab.distribution.plants import PLANTS, Plant
+from dockthread.lab.distribution.planted_bugs import PLANTS, Plant
 from dockthread.lab.distribution.publisher import KINDS, Publisher
 from dockthread.lab.distribution.voter import Voter
 
@@ -144,10 +144,10 @@
     def note(self, text: str) -> None:
         self.record.append(f"{self.clock.now:11.3f} {text}")
 
-    # Its story
+    # Its course
 
     def play(self) -> list[Broken]:
-        """The seed's story, to its end or to the first rule that broke."""
+        """The seed's course, to its end or to the first rule that broke."""
         try:
             self._run()
         except (IndexError, ValueError, KeyError, AssertionError, AttributeError) as error:
--- a/dockthread/lab/fleet/checker.py
+++ b/dockthread/lab/fleet/checker.py
@@ -16,11 +16,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """A rule that did not hold: at which ms, and its story in words."""
+    """A rule that did not hold: at which ms, and what happened."""
 
     rule: str
     at: float
-    story: str
+    detail: str
 
 
 class Checker:
@@ -38,8 +38,8 @@
         self._terms: dict[str, int] = {}
         self.highest = 0
 
-    def _break(self, rule: str, at: float, story: str) -> None:
-        self.broken.append(Broken(rule, at, story))
+    def _break(self, rule: str, at: float, detail: str) -> None:
+        self.broken.append(Broken(rule, at, detail))
 
     def led(self, at: float, member: str, term: int) -> None:
         if self._leaders.setdefault(term, member) != member:
--- a/dockthread/lab/fleet/rehearsal.py
+++ b/dockthread/lab/fleet/rehearsal.py
@@ -49,7 +49,7 @@
 @dataclass
 class Verdict:
     broken: list[Broken] = field(default_factory=list)
-    story: list[str] = field(default_factory=list)
+    record: list[str] = field(default_factory=list)
     served: int = 0
     asked: int = 0
 
@@ -114,11 +114,11 @@
         return (time.monotonic() - self._begun) * 1000.0
 
     def _say(self, text: str) -> None:
-        self._verdict.story.append(f"{self._now:8.0f} {text}")
+        self._verdict.record.append(f"{self._now:8.0f} {text}")
 
-    def _break(self, rule: str, story: str) -> None:
-        self._say(f"BROKEN {rule}: {story}")
-        self._verdict.broken.append(Broken(rule, self._now, story))
+    def _break(self, rule: str, detail: str) -> None:
+        self._say(f"BROKEN {rule}: {detail}")
+        self._verdict.broken.append(Broken(rule, self._now, detail))
 
     # Steps
 
@@ -206,7 +206,7 @@
 
     async def _staff(self, target: str) -> None:
         """From the wish to its end."""
-        word = f"{target}/{len(self._verdict.story)}"
+        word = f"{target}/{len(self._verdict.record)}"
         asked, pulled = -1e18, False
         while (known := await self._known(word)) is None or known["state"] not in ("done", "withdrawn", "abandoned"):
             if known is None and time.monotonic() - asked > AGAIN:
--- a/dockthread/lab/fleet/seeds.py
+++ b/dockthread/lab/fleet/seeds.py
@@ -39,14 +39,14 @@
 }
 
 
-def story(scenario: Scenario, seed: int, plant: str = "") -> tuple[list[Broken], list[str]]:
+def play_seed(scenario: Scenario, seed: int, plant: str = "") -> tuple[list[Broken], list[str]]:
     """One seed: what broke, and its record, the same each time."""
     world = scenario.world(seed, scenario.size, plant, scenario.faults)
     return world.play(), [f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record]
 
 
 def _some(name: str, seeds: range, plant: str) -> list[tuple[int, Broken]]:
-    found = ((seed, story(SCENARIOS[name], seed, plant)[0]) for seed in seeds)
+    found = ((seed, play_seed(SCENARIOS[name], seed, plant)[0]) for seed in seeds)
     return [(seed, broken[0]) for seed, broken in found if broken]
 
 
--- a/dockthread/lab/fleet/turns_checker.py
+++ b/dockthread/lab/fleet/turns_checker.py
@@ -27,8 +27,8 @@
         self._granted: dict[tuple[str, int], float] = {}
         self._away: set[str] = set()
 
-    def _break(self, rule: str, at: float, story: str) -> None:
-        self.broken.append(Broken(rule, at, story))
+    def _break(self, rule: str, at: float, detail: str) -> None:
+        self.broken.append(Broken(rule, at, detail))
 
     def pull(
         self, at: float, machine: str, held: Collection[str], members: Collection[str],
--- a/dockthread/lab/fleet/turns_world.py
+++ b/dockthread/lab/fleet/turns_world.py
@@ -5,7 +5,7 @@
 member sends requests to machines that it does not hold; a request lasts some ms, now and then long. Staff ask
 at any member, look at any for what became of their own request (by their own word on it), pull the plug once
 it is out, and say done after the work; whatever is not answered they ask again under the same id. An ingress
-that ends in its own turn is started again. One seed, one story; times in ms.
+that ends in its own turn is started again. One seed, one course of events; times in ms.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from dockthread.fleet.wire import COMMAND, Entry
 from dockthread.lab.fleet.checker import Broken
 from dockthread.lab.fleet.turns_checker import TurnsChecker
-from dockthread.lab.fleet.turns_plants import ORDERS, PARTS
+from dockthread.lab.fleet.turns_planted_bugs import ORDERS, PARTS
 from dockthread.lab.fleet.world import FAULTY, Member, World
 from dockthread.work.order import HELD, Order
 from dockthread.work.part import Around, Part, Seen, Terms, View
--- a/dockthread/lab/fleet/world.py
+++ b/dockthread/lab/fleet/world.py
@@ -1,4 +1,4 @@
-"""Members of an agreement on a simulated network, with simulated disks and clocks: one seed, one story.
+"""Members of an agreement on a simulated network, with simulated disks and clocks: one seed, one course of events.
 
 Swarm style: each seed turns on a random subset of the faults, so that rare combinations come up. Whatever is random
 comes of the seed, and time is the heap's; two runs of one seed write the same record. A write to disk takes effect
@@ -31,7 +31,7 @@
 from dockthread.fleet.log import Log
 from dockthread.fleet.wire import COMMAND, VOTERS, Entry, Message, VoteAnswer
 from dockthread.lab.fleet.checker import Broken, Checker
-from dockthread.lab.fleet.plants import CORES
+from dockthread.lab.fleet.planted_bugs import CORES
 
 FAULTS = (
     "cut", "one-way", "loss", "delay", "double", "crash", "crash-all", "stall", "torn", "forget", "compact", "voters",
@@ -83,7 +83,7 @@
         heappush(self._due, (self.now + after, self._count, then, args))
 
     def play(self) -> list[Broken]:
-        """The seed's story, to its end or to the first rule that broke."""
+        """The seed's course, to its end or to the first rule that broke."""
         try:
             return self.run()
         except (IndexError, ValueError, KeyError, AssertionError) as error:
--- a/dockthread/lab/scale/hollow.py
+++ b/dockthread/lab/scale/hollow.py
@@ -13,7 +13,7 @@
 from dockthread.clock import Clock
 from dockthread.distribution.ingress import Controlled
 from dockthread.lab.scale.control import ControlWitness, options_of
-from dockthread.lab.scale.plants import alteration, control_alteration
+from dockthread.lab.scale.planted_bugs import alteration, control_alteration
 from dockthread.lab.scale.witness import Row, Witness, table
 from dockthread.module import api
 from dockthread.module.rules import Gateway
--- a/tests/test_distribution_simulated.py
+++ b/tests/test_distribution_simulated.py
@@ -9,8 +9,8 @@
 
 from dockthread.cli.lab import lab
 from dockthread.lab.distribution.checker import Asked, Checker
-from dockthread.lab.distribution.plants import PLANTS
-from dockthread.lab.distribution.seeds import many, story
+from dockthread.lab.distribution.planted_bugs import PLANTS
+from dockthread.lab.distribution.seeds import many, play_seed
 
 SEEDS_OF_A_PLANT = range(0, 4)
 
@@ -24,13 +24,13 @@
 
 @pytest.mark.parametrize("plant", PLANTS)
 def test_a_planted_bug_is_found(plant: str) -> None:
-    assert any(story(PLANTS[plant].scenario, seed, plant).broken for seed in SEEDS_OF_A_PLANT)
+    assert any(play_seed(PLANTS[plant].scenario, seed, plant).broken for seed in SEEDS_OF_A_PLANT)
 
 
 def test_a_seed_is_the_same_story_each_time_and_the_command_tells_it() -> None:
     told = CliRunner().invoke(lab, ["distribution", "replay", "3", "--json"])
     assert told.exit_code == 0
-    assert tuple(json.loads(told.output)["record"]) == story("drawn", 3).record
+    assert tuple(json.loads(told.output)["record"]) == play_seed("drawn", 3).record
     found = CliRunner().invoke(
         lab, ["distribution", "seeds", "--seeds", "3..3", "--plant", "older-applied", "--json"]
     )
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -23,8 +23,8 @@
     VoteAnswer,
     VoteAsk,
 )
-from dockthread.lab.fleet.plants import NAMES
-from dockthread.lab.fleet.seeds import SCENARIOS, many, story
+from dockthread.lab.fleet.planted_bugs import NAMES
+from dockthread.lab.fleet.seeds import SCENARIOS, many, play_seed
 
 THREE = ("a", "b", "c")
 
@@ -138,7 +138,7 @@
 def test_each_planted_bug_is_found(plant: str) -> None:
     rare = {"vote-not-kept": [("work-agreement-five", 116)], "epoch-unchecked": [("work-agreement", 41)]}
     common = [(name, seed) for seed in range(30) for name in ("work-agreement-five", "work-agreement")]
-    assert any(story(SCENARIOS[name], seed, plant)[0] for name, seed in rare.get(plant, common))
+    assert any(play_seed(SCENARIOS[name], seed, plant)[0] for name, seed in rare.get(plant, common))
 
 
 def test_one_seed_tells_one_story_and_the_commands_say_it() -> None:
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -67,7 +67,7 @@
     assert played.exit_code == 0, played.output
     told = json.loads(played.output)
     assert told["broken"] == [] and told["served"] > 100
-    assert sum("is pulled" in line for line in told["story"]) == 2
+    assert sum("is pulled" in line for line in told["record"]) == 2
     assert CliRunner().invoke(lab, ["fleet", "run", "no-such"]).exit_code == 2
     (tmp_path / "bad.ini").write_text("[scenario]\ningresses = 2")
     assert "ingresses: is 2" in CliRunner().invoke(lab, ["fleet", "run", str(tmp_path / "bad.ini")]).output
--- a/tests/test_turns_simulated.py
+++ b/tests/test_turns_simulated.py
@@ -6,8 +6,8 @@
 import pytest
 
 from dockthread.fleet import wire
-from dockthread.lab.fleet.seeds import SCENARIOS, story
-from dockthread.lab.fleet.turns_plants import NAMES
+from dockthread.lab.fleet.seeds import SCENARIOS, play_seed
+from dockthread.lab.fleet.turns_planted_bugs import NAMES
 from dockthread.work.part import Acts, Around, Part, Seen, Terms, View, together
 from dockthread.work.words import INGRESS, Command, Tick, Zone
 
@@ -121,10 +121,10 @@
 @pytest.mark.parametrize("plant", NAMES)
 def test_each_planted_bug_of_the_order_of_work_is_found(plant: str) -> None:
     name, seed = FOUND[plant]
-    broken, _ = story(SCENARIOS[name], seed, plant)
-    assert broken and not story(SCENARIOS[name], seed)[0]
+    broken, _ = play_seed(SCENARIOS[name], seed, plant)
+    assert broken and not play_seed(SCENARIOS[name], seed)[0]
 
 
 def test_a_seed_of_turns_tells_one_story() -> None:
-    first, again = (story(SCENARIOS["work-turns"], 3) for _ in range(2))
+    first, again = (play_seed(SCENARIOS["work-turns"], 3) for _ in range(2))
     assert first == again and any("is pulled" in line for line in first[1])
