Serve subscribers in one class for simulated voters and distributors

Need: both told pump, accepted and room in the same words. Change: ServingProcess holds them; each keeps how it tells the age of its table. No behaviour changes.

--- a/dockthread/lab/distribution/nodes.py
+++ b/dockthread/lab/distribution/nodes.py
@@ -239,7 +239,30 @@
         return changed
 
 
-class Distributor(Process):
+class ServingProcess(Process):
+    """A process with subscribers: a distributor or a voter."""
+
+    server: ServingSide
+
+    def _freshen(self) -> None:
+        """Tell the fan-out how old its table is."""
+        raise NotImplementedError
+
+    def pump(self) -> None:
+        self._freshen()
+        self.server.pump()
+
+    def accepted(self, connection: Connection) -> None:
+        self.server.accepted(connection)
+
+    def room(self, connection: Connection) -> None:
+        if self.server.has(connection):
+            self._freshen()
+            self.server.pump_one(connection)
+        self.settle()
+
+
+class Distributor(ServingProcess):
     """Receives from a voter and serves ingresses. Keeps nothing on disk."""
 
     def begin(self) -> None:
@@ -260,23 +283,10 @@
         if self.server.fanout.due() <= now:
             self.server.tick()
 
-    def pump(self) -> None:
-        self._freshen()
-        self.server.pump()
-
-    def accepted(self, connection: Connection) -> None:
-        self.server.accepted(connection)
-
     def opened(self, connection: Connection) -> None:
         self._took(self.receiver.opened(connection))
         self.settle()
 
-    def room(self, connection: Connection) -> None:
-        if self.server.has(connection):
-            self._freshen()
-            self.server.pump_one(connection)
-        self.settle()
-
     def frame(self, connection: Connection, data: bytes) -> None:
         if self.server.has(connection):
             self._freshen()
--- a/dockthread/lab/distribution/voter.py
+++ b/dockthread/lab/distribution/voter.py
@@ -14,14 +14,14 @@
 from dockthread.fleet.wire import COMMAND, Append
 from dockthread.fleet.wire import Message as LogMessage
 from dockthread.lab.distribution.network import Connection
-from dockthread.lab.distribution.nodes import Process, ServingSide
+from dockthread.lab.distribution.nodes import ServingProcess, ServingSide
 
 TIMES: Final = Times(patience=600.0, beat=200.0)
 KEEP_ENTRIES: Final = 40  # applied entries before a state takes their place
 Reply = Callable[[Published], None]
 
 
-class Voter(Process):
+class Voter(ServingProcess):
     """Its disk holds the log; writes take effect at once."""
 
     def begin(self) -> None:
@@ -53,19 +53,6 @@
         if self.server.fanout.due() <= now:
             self.server.tick()
 
-    def pump(self) -> None:
-        self._freshen()
-        self.server.pump()
-
-    def accepted(self, connection: Connection) -> None:
-        self.server.accepted(connection)
-
-    def room(self, connection: Connection) -> None:
-        if self.server.has(connection):
-            self._freshen()
-            self.server.pump_one(connection)
-        self.settle()
-
     def frame(self, connection: Connection, data: bytes) -> None:
         if self.server.has(connection):
             self._freshen()
