--- a/benchmarks/regress.py
+++ b/benchmarks/regress.py
@@ -47,7 +47,7 @@
 
 
 def short(site: str, *seeds: int) -> tuple[Run, ...]:
-    """The rules at close range: twelve days of a few ingresses, drawn anew from each seed."""
+    """The rules at close range: fifteen days of a few ingresses, drawn anew from each seed."""
     name = Path(site).stem
     panels = [(seed, ("--panel", "brink", "--seed", str(seed))) for seed in seeds]
     return tuple(Run(f"short days {seed}, {name}", MASS, site, "fleet", panel) for seed, panel in panels)
