Force a backend's call and the counter's under descriptors full of idle clients

Change: a test with a real process of 96 descriptors and 192 idle clients: one more client is served by a backend and its units are told to the counter. It passes as the program stands, so the suspect is ruled out.

--- a/tests/test_discovery_bounds.py
+++ b/tests/test_discovery_bounds.py
@@ -21,7 +21,7 @@
 from dockthread.clock import ManualClock
 from dockthread.net.ingress import Ingress
 from dockthread.settings import Address
-from tests.loopback import LIST, SETTINGS, Client, Discovery, config, message, raw_config, run, target, until
+from tests.loopback import LIST, SETTINGS, Backend, Client, Discovery, config, message, raw_config, run, target, until
 from tests.test_program import program
 
 BOUND, STEP = 6_000.0, 250.0  # ms
@@ -237,6 +237,40 @@
     run(scenario())
 
 
+def test_idle_clients_that_fill_the_descriptors_keep_neither_a_backend_nor_the_counter_from_being_called(
+    tmp_path: Path,
+) -> None:
+    async def adds(args: list[bytes]) -> bytes:
+        return b"$1\r\n1\r\n"
+
+    async def scenario() -> None:
+        backend, numbers, discovery = Backend(), Backend(adds), Failing()
+        known = message(1, target("s-0", await backend.start()), full=True)
+        counter = f"127.0.0.1:{await numbers.start()}"
+        discovery.down = "hangs"
+        settings = SETTINGS | {"Domain": {**SETTINGS["Domain"], "MayCount": True}}
+        raw = raw_config(
+            known, await discovery.start(), limits={"sockets": SOCKETS}, settings=settings, counter=counter
+        )
+        (tmp_path / "config.json").write_text(json.dumps(raw))
+        with program("-m", "dockthread", says="listens on", NODE_CONFIG=str(tmp_path / "config.json")) as (
+            process,
+            address,
+        ):
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS))
+            port = int(address.rsplit(":")[-1])
+            idle = [socket.create_connection(("127.0.0.1", port)) for _ in range(2 * SOCKETS)]
+            await until(lambda: len(os.listdir(f"/proc/{process.pid}/fd")) > SOCKETS // 2)
+            client = await Client.open(port)
+            assert await asyncio.wait_for(client.call(), 4) == b"value"
+            await until(lambda: numbers.seen)
+            assert [call[0] for call in numbers.seen] == [b"CNT.ADD"] * len(numbers.seen)
+            for sock in idle:
+                sock.close()
+
+    run(scenario())
+
+
 class Overbooked(Failing):
     """Answers one call in 130 ms, in turn, and turns away those that find some waiting."""
 
