--- a/dockthread/__main__.py
+++ b/dockthread/__main__.py
@@ -6,6 +6,7 @@
 
 
 def main() -> int:
+    """The exit code of the daemon, or of the command that is named."""
     if len(sys.argv) < 2:  # the daemon does not pay for the command line
         from dockthread.serve import serve
 
--- a/dockthread/distribution/asking.py
+++ b/dockthread/distribution/asking.py
@@ -73,6 +73,7 @@
 
 
 def change(kind: str, name: str, body: bytes | None, expected: int = -1) -> Publish:
+    """A change under a token of its own, drawn anew."""
     return Publish(secrets.token_hex(16), kind, name, body, expected)
 
 
@@ -110,13 +111,16 @@
         return [one for one in self.subscribers if one.rejections or self.lags(one)]
 
     def lags(self, one: SubscriberStatus) -> bool:
+        """Whether an ingress is gone, or lacks what was accepted last."""
         return not one.connected or one.revision < self.revision
 
     def lagging_servers(self) -> list[Status]:
+        """Servers that do not hold what the furthest one holds."""
         return [one for one in self.servers.values() if (one.epoch, one.revision) != (self.epoch, self.revision)]
 
     @property
     def good(self) -> bool:
+        """Whether every server answered and nobody lags."""
         return not (self.missed or self.lagging() or self.lagging_servers())
 
 
--- a/dockthread/distribution/cache.py
+++ b/dockthread/distribution/cache.py
@@ -42,11 +42,15 @@
 
 
 class Head(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+    """First record of a cache: its version and whose it is."""
+
     version: int
     name: str
 
 
 class Part(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    """Resources that were received, in the order in which they came."""
+
     resources: tuple[Resource, ...]
 
 
--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -69,15 +69,19 @@
         self._client, self.number = client, number
 
     def heard(self, message: Message) -> None:
+        """A whole message came."""
         self._client.heard(self.number, message)
 
     def received(self) -> None:
+        """Some bytes came."""
         self._client.received(self.number)
 
     def malformed(self, reason: str) -> None:
+        """What came is no message."""
         self._client.malformed(self.number, reason)
 
     def ended(self, reason: str) -> None:
+        """The connection is gone."""
         self._client.ended(self.number, reason)
 
 
@@ -216,6 +220,7 @@
     # What its connection tells
 
     def heard(self, number: int, message: Message) -> None:
+        """A whole message came on a connection."""
         if not self._closed:
             if not _finite(message):
                 self.malformed(number, "a time that is no number")
@@ -230,11 +235,13 @@
         self.subscriber.received(self._clock.now(), number)
 
     def malformed(self, number: int, reason: str) -> None:
+        """What came on a connection is no message: it ends, and the last good table stays."""
         if not self._closed:
             logger.debug("control: connection {} is malformed: {}", number, reason)
             self._do(self.subscriber.malformed(self._clock.now(), number, reason))
 
     def ended(self, number: int, reason: str) -> None:
+        """A connection is gone, whoever ended it."""
         if self._connection is not None and self._connection.number == number:
             self._connection = None
             if not self._closed:
@@ -342,9 +349,11 @@
 
 
 def servers_of(options: ControlOptions) -> list[Server]:
+    """The servers that the section names, near ones first."""
     near = [Server(server, 0) for server in options.servers]
     return near + [Server(server, 1) for server in options.far_servers]
 
 
 def cache_of(options: ControlOptions, name: str) -> Cache | None:
+    """Where the section keeps what was received; None for nowhere."""
     return Cache(Path(options.cache), name, options.cache_interval) if options.cache else None
--- a/dockthread/distribution/ingress.py
+++ b/dockthread/distribution/ingress.py
@@ -47,9 +47,11 @@
         )
 
     def open(self) -> None:
+        """Start to receive."""
         self.client.open()
 
     async def close(self) -> None:
+        """Stop receiving, and write the cache."""
         await self.client.close()
 
     def layered(self, config: Config) -> Config:
@@ -64,6 +66,7 @@
     # What its client tells (client.py, Owner)
 
     def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        """Put changes in force; those that are refused leave the last good one in its place."""
         refused = []
         for one in changes:
             if reason := self._apply(one):
@@ -77,9 +80,11 @@
         return refused
 
     def in_force(self, kind: str, name: str) -> Resource | None:
+        """What is in force under a key; None for nothing."""
         return self._in_force.get((kind, name))
 
     def settled(self) -> None:
+        """All that was given has been dealt with: log once what was refused."""
         if self._refused:
             first = self._refused[0]
             told = "control: {} refused, the last good one stays; the first is {} {} of revision {}: {}"
--- a/dockthread/distribution/messages.py
+++ b/dockthread/distribution/messages.py
@@ -113,7 +113,7 @@
 
 
 class StatusRequest(msgspec.Struct, frozen=True, array_like=True, tag="t"):
-    pass
+    """Asks a server what it holds and who receives from it."""
 
 
 class SubscriberStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/dockthread/distribution/options.py
+++ b/dockthread/distribution/options.py
@@ -46,6 +46,7 @@
     snapshot_rate: Size = Size(20_000_000)
 
     def faults(self) -> Iterable[Fault]:
+        """Key, fault and what would do, of all that this section shows to be wrong."""
         if self.role is None:
             if self.listen or self.servers or self.cache:
                 yield "role", "is missing", f"write one of {ROLES}"
@@ -97,6 +98,7 @@
             yield "heartbeat", f"{self.heartbeat} is out of range", f"{LEAST_HEARTBEAT:g}ms to 1s"
 
     def listen_address(self) -> Address:
+        """Where it listens. Raises SettingsError for what is no address."""
         return Address.parse(self.listen)
 
     def key(self) -> bytes:
--- a/dockthread/distribution/process.py
+++ b/dockthread/distribution/process.py
@@ -35,9 +35,11 @@
 class Part(Protocol):
     """A voter or a distributor."""
 
-    async def open(self, listen: Address) -> Address: ...
+    async def open(self, listen: Address) -> Address:
+        """Listen and take part; the address. Raises OSError where it cannot listen."""
 
-    async def close(self) -> None: ...
+    async def close(self) -> None:
+        """Stop, and let go of all connections."""
 
 
 class Distributor:
@@ -74,12 +76,14 @@
         )
 
     async def open(self, listen: Address) -> Address:
+        """Listen, and begin to receive; the address. Raises OSError where it cannot listen."""
         assert self._server is not None
         at = await self._server.open(listen)
         self._client.open()
         return at
 
     async def close(self) -> None:
+        """Stop receiving and serving."""
         assert self._server is not None
         await self._client.close()
         await self._server.close()
@@ -87,17 +91,21 @@
     # What its client tells
 
     def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        """Refuses nothing: a distributor knows no kind."""
         return ()
 
     def in_force(self, kind: str, name: str) -> Resource | None:
+        """Nothing is in force at a distributor."""
         return None
 
     def settled(self) -> None:
+        """The table has changed: serve it on."""
         if self._server is not None:
             self._server.changed()
 
 
 def limits_of(options: ControlOptions) -> tuple[ServerLimits, FanoutLimits]:
+    """Limits of a server and of its fan-out by the section."""
     most, rate = options.most_connections, float(options.snapshot_rate)
     fanout = FanoutLimits(most, snapshot_rate=rate, snapshot_burst=2 * rate, beat=float(options.heartbeat))
     return ServerLimits(most + ASKING, options.write_buffer), fanout
--- a/dockthread/distribution/server.py
+++ b/dockthread/distribution/server.py
@@ -49,7 +49,8 @@
 class Publisher(Protocol):
     """Takes changes: a voter."""
 
-    async def publish(self, change: Publish) -> Published: ...
+    async def publish(self, change: Publish) -> Published:
+        """Have a change agreed on; how it ended."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,18 +83,23 @@
         self.heard_at = server.clock.now()
 
     def opened(self) -> None:
+        """The connection is open."""
         self._server.accepted(self)
 
     def heard(self, message: Message) -> None:
+        """A whole message came."""
         self._server.heard(self, message)
 
     def malformed(self, reason: str) -> None:
+        """What came is no message."""
         self._server.malformed(self, reason)
 
     def ended(self, reason: str) -> None:
+        """The connection is gone."""
         self._server.ended(self)
 
     def may_write(self) -> None:
+        """Its socket has room again."""
         self._server.write_to(self)
 
 
@@ -159,6 +165,7 @@
         return Connection(self, self._number, self._key)
 
     def accepted(self, connection: Connection) -> None:
+        """Take a connection in, or close it where there are too many."""
         if len(self._connections) >= self._limits.connections:
             self.counts.refused += 1
             connection.abort()
@@ -169,6 +176,7 @@
         self._connections[connection.number] = connection
 
     def ended(self, connection: Connection) -> None:
+        """Forget a connection that is gone."""
         if self._connections.pop(connection.number, None) is not None and connection.subscribed:
             self.fanout.closed(self.clock.now(), connection.number)
 
@@ -181,6 +189,7 @@
             logger.warning("control: {} malformed so far, the last from {}: {}", self.counts.malformed, peer, reason)
 
     def heard(self, connection: Connection, message: Message) -> None:
+        """A whole message came on a connection."""
         now = connection.heard_at = self.clock.now()
         if not connection.writable and not connection.subscribed:
             self.counts.unread += 1
--- a/dockthread/distribution/stream.py
+++ b/dockthread/distribution/stream.py
@@ -41,21 +41,26 @@
         """The transport's buffer is low again."""
 
     def send(self, message: Message) -> None:
+        """Write a message, tagged with the key."""
         self.write(codec.pack(message, self._key))
 
     def write(self, frame: bytes) -> None:
+        """Write a frame that is packed already; nothing where the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(frame)
 
     @property
     def is_closing(self) -> bool:
+        """Whether it is closed, or about to be."""
         return self.transport is None or self.transport.is_closing()
 
     def hold_reading(self) -> None:
+        """Read nothing more until `read_on`."""
         if self.transport is not None and not self.is_closing and self.transport.is_reading():
             self.transport.pause_reading()
 
     def read_on(self) -> None:
+        """Read on after `hold_reading`."""
         if self.transport is not None and not self.is_closing and not self.transport.is_reading():
             self.transport.resume_reading()
 
@@ -65,27 +70,33 @@
             self.transport.close()
 
     def abort(self) -> None:
+        """Close at once, whatever is not yet written."""
         if self.transport is not None:
             self.transport.abort()
 
     # What asyncio tells
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """From asyncio: the connection is open."""
         self.transport = transport  # type: ignore[assignment]  # uvloop's own class
         self.opened()
 
     def connection_lost(self, error: Exception | None) -> None:
+        """From asyncio: the connection is gone."""
         self._buffer.clear()
         self.ended(str(error) if error is not None else "closed")
 
     def pause_writing(self) -> None:
+        """From asyncio: the write buffer is full."""
         self.writable = False
 
     def resume_writing(self) -> None:
+        """From asyncio: the write buffer has room again."""
         self.writable = True
         self.may_write()
 
     def data_received(self, data: bytes) -> None:
+        """From asyncio: bytes came."""
         if self.is_closing:
             return
         self._buffer += data
--- a/dockthread/distribution/subscriber_actions.py
+++ b/dockthread/distribution/subscriber_actions.py
@@ -40,6 +40,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
+    """Write a message on a connection."""
+
     connection: int
     message: Subscribe | Acknowledge | Heartbeat
 
--- a/dockthread/distribution/voter.py
+++ b/dockthread/distribution/voter.py
@@ -52,6 +52,7 @@
         return at
 
     async def close(self) -> None:
+        """Leave the log, handing over where it leads, and stop serving."""
         await self.member.close()
         await self.server.close()
 
@@ -72,21 +73,27 @@
     # What its member tells (fleet/member.py, Owner)
 
     def apply(self, index: int, data: bytes) -> None:
+        """From the log: a change that is agreed on."""
         self.publishing.apply(index, data)
         self._changed()
 
     def restore(self, index: int, state: bytes) -> None:
+        """From the log: a whole state, in place of what was applied."""
         self.publishing.restore(index, state)
         self._changed()
 
     def state(self) -> bytes:
+        """For the log: the state after what was applied."""
         return self.publishing.state()
 
-    def came_to(self, index: int, term: int) -> None: ...
+    def came_to(self, index: int, term: int) -> None:
+        """From the log; nothing here depends on it."""
 
-    def shown(self, sender: str, data: bytes) -> None: ...
+    def shown(self, sender: str, data: bytes) -> None:
+        """From the log; members of control show each other nothing."""
 
-    def changed(self) -> None: ...
+    def changed(self) -> None:
+        """From the log; who leads is asked where it matters."""
 
     def _changed(self) -> None:
         if self._serving:
--- a/dockthread/module/pool.py
+++ b/dockthread/module/pool.py
@@ -68,9 +68,11 @@
         return iter(self._workers)
 
     def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        """By their shares."""
         return rng.choices(self._workers, cum_weights=self._sums, k=count)
 
     def some(self, rng: random.Random) -> Iterable[Worker]:
+        """All of them."""
         return self._workers
 
 
@@ -90,12 +92,14 @@
         return (worker for worker in self._pool if self._fits(worker.entry))
 
     def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        """Those that fit among some drawn from all; none where a few rounds of drawing find none."""
         for _ in range(TRIES):
             if drawn := [worker for worker in self._pool.draw(rng, count) if self._fits(worker.entry)]:
                 return drawn
         return []
 
     def some(self, rng: random.Random) -> Iterable[Worker]:
+        """Those that fit among some of all."""
         return [worker for worker in self._pool.some(rng) if self._fits(worker.entry)]
 
 
@@ -140,6 +144,7 @@
         return self._sums[-1] if self._sums else 0.0
 
     def draw(self, rng: random.Random, count: int) -> list[Worker]:
+        """By their shares as they were summed up last; of a long list `MOST_DRAWN` at the most."""
         if not self._sums or not self._sums[-1]:
             return []
         if self._ready > SCANNED:
@@ -147,6 +152,7 @@
         return rng.choices(self._slots, cum_weights=self._sums, k=count)
 
     def some(self, rng: random.Random) -> Iterable[Worker]:
+        """All of a short list; of a long one some, drawn evenly."""
         if self._ready <= SCANNED:
             return iter(self)
         return (worker for worker in rng.choices(self._slots, k=SCANNED // 4) if worker.ready)
--- a/dockthread/module/warmup.py
+++ b/dockthread/module/warmup.py
@@ -32,6 +32,7 @@
         self.left = 1.0
 
     def answered(self, now: float, shares: float, usual: float) -> None:
+        """A worker answered; the other parameters as in `pass_time`."""
         self.pass_time(now, shares, usual)
         self._answers += 1
 
