Word a broken rule once for the laboratory's simulations, and once for its JSON

Need: the distribution's checker declared the same record as the agreement's, and both commands worded it for JSON. Change: Broken of lab/fleet/checker.py serves both; worded in cli/lab_fleet.py serves both commands. No behaviour changes, no check touched.

--- a/dockthread/cli/lab_distribution.py
+++ b/dockthread/cli/lab_distribution.py
@@ -8,8 +8,7 @@
 
 import click
 
-from dockthread.cli.lab_fleet import BROKE, seeds_of
-from dockthread.lab.distribution.checker import Broken
+from dockthread.cli.lab_fleet import BROKE, seeds_of, worded
 from dockthread.lab.distribution.planted_bugs import NAMES, PLANTS
 from dockthread.lab.distribution.seeds import SCENARIOS, Found, many, play_seed
 
@@ -39,11 +38,6 @@
 json_option = click.option("--json", "as_json", is_flag=True, help="One line of JSON.")
 
 
-def worded(broken: Broken) -> dict[str, str | float]:
-    """For JSON."""
-    return {"rule": broken.rule, "at": round(broken.at, 3), "detail": broken.detail}
-
-
 @distribution.command()
 def scenarios() -> None:
     """The scenarios, the name first."""
--- a/dockthread/cli/lab_fleet.py
+++ b/dockthread/cli/lab_fleet.py
@@ -13,6 +13,7 @@
 import click
 
 from dockthread.lab.fleet import turns_planted_bugs
+from dockthread.lab.fleet.checker import Broken
 from dockthread.lab.fleet.planted_bugs import NAMES as AGREEMENT
 from dockthread.lab.fleet.scenario import ScenarioError, parse, shipped
 from dockthread.lab.fleet.seeds import SCENARIOS, many, play_seed
@@ -27,6 +28,11 @@
     """Rehearse many members together, with faults between them."""
 
 
+def worded(broken: Broken) -> dict[str, str | float]:
+    """A broken rule for JSON."""
+    return {"rule": broken.rule, "at": round(broken.at, 3), "detail": broken.detail}
+
+
 def seeds_of(ctx: click.Context, param: click.Parameter, value: str) -> range:
     first, dots, last = value.partition("..")
     if not first.isdigit() or (dots and not last.isdigit()):
@@ -74,7 +80,7 @@
     broken: list[dict[str, Any]] = []
     for count, found in many(scenario, seeds, jobs, plant):
         played += count
-        broken += [{"seed": seed, "rule": b.rule, "at": round(b.at, 3), "detail": b.detail} for seed, b in found]
+        broken += [{"seed": seed, **worded(one)} for seed, one in found]
         if plant and broken:
             break
     if as_json:
--- a/dockthread/lab/distribution/checker.py
+++ b/dockthread/lab/distribution/checker.py
@@ -17,6 +17,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from dockthread.lab.fleet.checker import Broken
+
 Key = tuple[str, str]
 
 
@@ -33,15 +35,6 @@
     def body(self) -> bytes | None: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """A rule that did not hold: at which ms, and what happened."""
-
-    rule: str
-    at: float
-    detail: str
-
-
 @dataclass(slots=True)
 class Asked:
     """A change as its publisher wants it; `revision` once it was told: 0 for refused."""
--- a/dockthread/lab/distribution/seeds.py
+++ b/dockthread/lab/distribution/seeds.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from dockthread.lab.distribution.checker import Broken
 from dockthread.lab.distribution.world import World
+from dockthread.lab.fleet.checker import Broken
 
 CHUNK: Final = 10  # seeds that a process plays before it tells
 
--- a/dockthread/lab/distribution/world.py
+++ b/dockthread/lab/distribution/world.py
@@ -25,7 +25,7 @@
 from dockthread.distribution.resources import ResourceTable
 from dockthread.distribution.subscriber import Subscriber, SubscriberTimes
 from dockthread.fleet.wire import Message as LogMessage
-from dockthread.lab.distribution.checker import Broken, Checker, Seen
+from dockthread.lab.distribution.checker import Checker, Seen
 from dockthread.lab.distribution.faults import FAULTS, HOUR, SINGLE, Faults
 from dockthread.lab.distribution.ingress import Ingress
 from dockthread.lab.distribution.network import AGAIN, Clock, Network
@@ -33,6 +33,7 @@
 from dockthread.lab.distribution.planted_bugs import PLANTS, Plant
 from dockthread.lab.distribution.publisher import KINDS, Publisher
 from dockthread.lab.distribution.voter import Voter
+from dockthread.lab.fleet.checker import Broken
 
 Kind = TypeVar("Kind", bound=Process)
 
