Count messages each way in a scale run, voters and distributors too

Need: the size to design for asks for messages a second each way of each role, and the reports had one figure, none for voters and distributors. Change: MessageCounts (frames.py) is counted into by the streams of the distribution and the links of the agreed log; reports, version 2, tell messages_in_s and messages_out_s.

--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -37,6 +37,7 @@
     Subscriber,
     SubscriberTimes,
 )
+from dockthread.frames import MessageCounts
 from dockthread.settings import Address
 
 SLICE: Final = 16  # resources that an owner is handed at once
@@ -65,7 +66,7 @@
     """The one that the client has, by the core's number."""
 
     def __init__(self, client: Client, number: int, key: bytes) -> None:
-        super().__init__(key, MOST_FRAME)
+        super().__init__(key, MOST_FRAME, client.messages)
         self._client, self.number = client, number
 
     def heard(self, message: Message) -> None:
@@ -103,6 +104,7 @@
         slice_size: int = SLICE,
     ) -> None:
         self._owner, self._clock, self._key = owner, clock, key
+        self.messages = MessageCounts()
         self._cache, self._slice_size = cache, slice_size
         self._kept: dict[Key, Resource] = {}  # in force in place of what was refused
         self._batches: deque[Changed] = deque()
--- a/dockthread/distribution/process.py
+++ b/dockthread/distribution/process.py
@@ -23,6 +23,7 @@
 from dockthread.distribution.voter import Voter
 from dockthread.fleet.options import FleetOptions
 from dockthread.fleet.store import Lost
+from dockthread.frames import MessageCounts
 from dockthread.logs.setup import set_up
 from dockthread.sections import load
 from dockthread.settings import Address, SettingsError
@@ -88,6 +89,12 @@
         await self._client.close()
         await self._server.close()
 
+    @property
+    def messages(self) -> MessageCounts:
+        """With its servers and with those whom it serves."""
+        assert self._server is not None
+        return self._client.messages + self._server.messages
+
     # What its client tells
 
     def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
--- a/dockthread/distribution/server.py
+++ b/dockthread/distribution/server.py
@@ -35,6 +35,7 @@
 )
 from dockthread.distribution.resources import ResourceTable
 from dockthread.distribution.stream import FrameStream
+from dockthread.frames import MessageCounts
 from dockthread.settings import Address
 
 MOST_REQUEST = 256 << 10  # bytes of a message to a server: a resource's body, or 64 rejections
@@ -77,7 +78,7 @@
     """One accepted connection."""
 
     def __init__(self, server: Server, number: int, key: bytes) -> None:
-        super().__init__(key, MOST_REQUEST)
+        super().__init__(key, MOST_REQUEST, server.messages)
         self._server, self.number = server, number
         self.subscribed = False
         self.heard_at = server.clock.now()
@@ -121,7 +122,7 @@
         publisher: Publisher | None = None,
     ) -> None:
         self.name, self.role, self.table, self.clock = name, role, table, clock
-        self.counts = Counts()
+        self.counts, self.messages = Counts(), MessageCounts()
         self._limits, self._key = limits or ServerLimits(), key
         self._age, self._publisher = age, publisher
         self.fanout = Fanout(table, fanout_limits or FanoutLimits(), rng, key, clock.now())
--- a/dockthread/distribution/stream.py
+++ b/dockthread/distribution/stream.py
@@ -5,17 +5,19 @@
 import asyncio
 
 from dockthread.distribution.messages import MOST_FRAME, Message, codec
-from dockthread.frames import HEAD, MalformedFrame
+from dockthread.frames import HEAD, MalformedFrame, MessageCounts
 
 
 class FrameStream(asyncio.Protocol):
-    """Cuts what arrives into messages. `most`: bytes that a message of the other side may have.
+    """Cuts what arrives into messages. `most`: bytes that a message of the other side may have. `counts`: where the
+    messages are counted, each way.
 
     What is malformed ends the connection, after `malformed` was told of it; nothing of it is read any more.
     """
 
-    def __init__(self, key: bytes, most: int = MOST_FRAME) -> None:
+    def __init__(self, key: bytes, most: int = MOST_FRAME, counts: MessageCounts | None = None) -> None:
         self._key, self._most = key, most
+        self._counts = counts if counts is not None else MessageCounts()
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
         self.writable = True  # the transport's buffer is low
@@ -47,6 +49,7 @@
     def write(self, frame: bytes) -> None:
         """Write a frame that is packed already; nothing where the connection is closing."""
         if self.transport is not None and not self.transport.is_closing():
+            self._counts.sent += 1
             self.transport.write(frame)
 
     @property
@@ -120,6 +123,7 @@
                 break
             body = bytes(buffer[at + HEAD.size : at + HEAD.size + size])
             at += HEAD.size + size
+            self._counts.received += 1
             self.heard(codec.unpack(head, body, self._key))
             if self.is_closing:
                 return True
--- a/dockthread/distribution/voter.py
+++ b/dockthread/distribution/voter.py
@@ -14,6 +14,7 @@
 from dockthread.distribution.server import Server, ServerLimits
 from dockthread.fleet.member import Member
 from dockthread.fleet.options import FleetOptions
+from dockthread.frames import MessageCounts
 from dockthread.settings import Address
 
 AGREEMENT = 3_000.0  # ms that a publisher waits for the agreed log
@@ -60,6 +61,11 @@
         """ms since what is applied here was known to be all that was agreed on; -1 for never."""
         return self.member.age()
 
+    @property
+    def messages(self) -> MessageCounts:
+        """With the other voters and with those whom it serves."""
+        return self.member.messages + self.server.messages
+
     async def publish(self, change: Publish) -> Published:
         """Have the log agree on a change. The same token counts once."""
         if (known := self.publishing.answer(change.token)) is not None:
--- a/dockthread/fleet/link.py
+++ b/dockthread/fleet/link.py
@@ -17,6 +17,7 @@
 from collections.abc import Iterator
 
 from dockthread.fleet import wire
+from dockthread.frames import MessageCounts
 from dockthread.settings import Address
 
 MOST_WAITING = 256  # frames to one member
@@ -26,10 +27,11 @@
 
 
 class Link:
-    """Frames to one other member."""
+    """Frames to one other member. `counts`: where they are counted."""
 
-    def __init__(self, to: Address, rng: random.Random, key: bytes) -> None:
+    def __init__(self, to: Address, rng: random.Random, key: bytes, counts: MessageCounts | None = None) -> None:
         self._to, self._rng, self._key = to, rng, key
+        self._counts = counts if counts is not None else MessageCounts()
         self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
         self._parts: Iterator[bytes] | None = None  # of the state that is under way
         self._state: tuple[int, int] = (0, 0)  # term and last entry of the state that was sent last
@@ -77,10 +79,12 @@
         while self._waiting or self._parts is not None:
             while self._waiting:
                 writer.write(self._waiting.popleft())
+                self._counts.sent += 1
             if self._parts is not None:
                 if (part := next(self._parts, None)) is None:
                     self._parts, self._sent = None, time.monotonic()
                 else:
                     writer.write(part)
+                    self._counts.sent += 1
             async with asyncio.timeout(DRAINING):
                 await writer.drain()
--- a/dockthread/fleet/member.py
+++ b/dockthread/fleet/member.py
@@ -36,6 +36,7 @@
 from dockthread.fleet.link import Link
 from dockthread.fleet.options import FleetOptions
 from dockthread.fleet.store import Store
+from dockthread.frames import MessageCounts
 from dockthread.settings import Address
 
 KEEP_ENTRIES = 512  # applied entries in the log before a state takes their place
@@ -90,7 +91,7 @@
             self.store.close()
             raise ValueError(f"[fleet] directory: {options.directory} is of {self.store.name}, and this is {name}")
         self._times = Times(options.patience, options.beat)
-        self.spoilt = 0
+        self.spoilt, self.messages = 0, MessageCounts()
         self.opened = False  # it takes part
         self._links: dict[str, Link] = {}
         self._actions: deque[Action] = deque()
@@ -116,7 +117,9 @@
             self._owner.restore(stored.base, stored.state)
             self._came_to(stored.base, 0)
         self._agreement = Agreement(self.name, self._addresses, stored, self._times, self._rng, self._clock.now())
-        self._links = {n: Link(a, self._rng, self._key) for n, a in self._addresses.items() if n != self.name}
+        self._links = {
+            n: Link(a, self._rng, self._key, self.messages) for n, a in self._addresses.items() if n != self.name
+        }
         self.opened = True
         self._tasks = [self._loop.create_task(self._carry_out())]
         self._arm()
@@ -275,6 +278,7 @@
             while True:
                 head = await reader.readexactly(wire.HEAD.size)
                 body = await reader.readexactly(wire.length(head))
+                self.messages.received += 1
                 try:
                     message = wire.unpack(head, body, self._key)
                 except wire.UnknownMessage as error:
--- a/dockthread/frames.py
+++ b/dockthread/frames.py
@@ -9,6 +9,7 @@
 import hashlib
 import hmac
 import struct
+from dataclasses import dataclass
 from typing import Any, Final, Generic, TypeVar
 
 import msgspec
@@ -27,6 +28,17 @@
     """A whole frame whose message means nothing here, as one of a later release may: what follows it can be read."""
 
 
+@dataclass(slots=True)
+class MessageCounts:
+    """Whole messages since the start, over all connections that count into it."""
+
+    received: int = 0
+    sent: int = 0
+
+    def __add__(self, other: MessageCounts) -> MessageCounts:
+        return MessageCounts(self.received + other.received, self.sent + other.sent)
+
+
 class Codec(Generic[MessageT]):
     """Packs and unpacks the messages of one protocol.
 
--- a/dockthread/lab/scale/backends.py
+++ b/dockthread/lab/scale/backends.py
@@ -44,7 +44,7 @@
 
     async def state(self, told: Words) -> Words:
         return {
-            "messages": Backend.served,
+            "messages_in": Backend.served,
             "traffic": traffic([self._port], local=True),
             "late": self._lateness.taken(),
         }
--- a/dockthread/lab/scale/discovery.py
+++ b/dockthread/lab/scale/discovery.py
@@ -253,7 +253,7 @@
         return {
             "watches": len(self.watches),
             "revision": self.book.revision,
-            "messages": self.messages,
+            "messages_out": self.messages,
             "traffic": traffic(self._ports, local=True),
             "late": self._lateness.taken(),
         }
--- a/dockthread/lab/scale/hollow.py
+++ b/dockthread/lab/scale/hollow.py
@@ -106,6 +106,11 @@
             with suppress(asyncio.CancelledError):
                 await self._watching
 
+    @property
+    def messages_sent(self) -> int:
+        """To servers of configuration, in this life; the watch on discovery is one request."""
+        return self._controlled.client.messages.sent if self._controlled is not None else 0
+
     def table(self) -> list[Row]:
         return table(self.gateway, self.destinations)
 
--- a/dockthread/lab/scale/host.py
+++ b/dockthread/lab/scale/host.py
@@ -36,6 +36,7 @@
         self._witnesses: dict[int, Witness] = {}
         self._controls: dict[int, ControlWitness] = {}
         self._ingresses: dict[int, HollowIngress] = {}
+        self._sent_by_ended = 0  # messages that ended ingresses had sent
         self._ports: list[int] = []
         self._control_ports: list[int] = []
 
@@ -75,6 +76,7 @@
     async def stop(self, told: Words) -> Words:
         """End the ingresses that the fault ends, all at once."""
         ended = [number for number in self._ingresses if self._plan.restarted(number)]
+        self._sent_by_ended += sum(self._ingresses[number].messages_sent for number in ended)
         await asyncio.gather(*(self._ingresses.pop(number).stop() for number in ended))
         gc.collect()
         return {"stopped": len(ended)}
@@ -89,7 +91,8 @@
         return {
             "lowest": min((one.reached for one in self._witnesses.values()), default=-1),
             "lowest_configuration": min((one.reached for one in self._controls.values()), default=-1),
-            "messages": sum(one.messages for one in seen),
+            "messages_in": sum(one.messages for one in seen),
+            "messages_out": self._sent_by_ended + sum(one.messages_sent for one in self._ingresses.values()),
             "traffic": traffic(self._ports, local=False),
             "control_traffic": traffic(self._control_ports, local=False),
             "late": self._lateness.taken(),
--- a/dockthread/lab/scale/real.py
+++ b/dockthread/lab/scale/real.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 
+from dockthread.distribution.ingress import Controlled
 from dockthread.lab.scale.channel import Words, serve_commands
 from dockthread.lab.scale.control import ControlWitness
 from dockthread.lab.scale.routes import rows
@@ -34,6 +35,7 @@
     def __init__(self) -> None:
         self._lateness, self._in_force, self._control_in_force = Lateness(), InForce(), InForce()
         self._control: ControlWitness | None = None
+        self._controlled: Controlled | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     async def begin(self, told: Words) -> Words:
@@ -51,6 +53,7 @@
         while not ingress.lifecycle.ready and not self._tasks[0].done():
             await asyncio.sleep(0)
             if self._control is None and (controlled := self._daemon._controlled) is not None:
+                self._controlled = controlled
                 self._control = ControlWitness(told["number"], self._control_in_force, told["reached_configuration"])
                 self._control.new_life(not told["reached_configuration"])
                 self._control.observe(controlled)
@@ -63,7 +66,8 @@
         return {
             "lowest": self._witness.reached,
             "lowest_configuration": control.reached if control is not None else -1,
-            "messages": self._witness.messages + (control.messages if control is not None else 0),
+            "messages_in": self._witness.messages + (control.messages if control is not None else 0),
+            "messages_out": self._controlled.client.messages.sent if self._controlled is not None else 0,
             "traffic": traffic(self._ports, local=False),
             "control_traffic": traffic(self._control_ports, local=False),
             "late": self._lateness.taken(),
--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -12,12 +12,13 @@
 from dockthread.lab.scale.run import Run, Window
 from dockthread.lab.scale.usage import MEGABYTE, share
 
-VERSION: Final = 1
+VERSION: Final = 2  # since then messages are counted each way
 LEAST_CHANGES: Final = 10  # in force and measured, for a figure of lag
 LEAST_ANSWERS: Final = 1000  # in each window, for a figure of latency
 MOST_SHARE: Final = 90.0  # percent of a core: a process of the tool that uses more has no time left to be on time
 RATES: Final = (
-    "bytes_in_s", "bytes_out_s", "configuration_bytes_in_s", "configuration_bytes_out_s", "messages_s", "connections",
+    "bytes_in_s", "bytes_out_s", "configuration_bytes_in_s", "configuration_bytes_out_s", "messages_in_s",
+    "messages_out_s", "connections",
 )  # fmt: skip
 NOTHING: Final = {"in": 0, "out": 0, "connections": 0}
 ROLES: Final = ("discovery", "voter", "distributor", "backends", "baseline", "host", "real")
@@ -122,7 +123,8 @@
             found[f"{prefix}bytes_in_s"] += max(0, new["in"] - old["in"]) / length
             found[f"{prefix}bytes_out_s"] += max(0, new["out"] - old["out"]) / length
             found["connections"] += new["connections"]
-        found["messages_s"] += max(0, after.get("messages", 0) - before.get("messages", 0)) / length
+        for way in ("messages_in", "messages_out"):
+            found[f"{way}_s"] += max(0, after.get(way, 0) - before.get(way, 0)) / length
     return found
 
 
--- a/dockthread/lab/scale/server.py
+++ b/dockthread/lab/scale/server.py
@@ -35,8 +35,14 @@
         return {"port": self._port}
 
     async def state(self, told: Words) -> Words:
-        """Traffic with those whom it serves."""
-        return {"traffic": traffic([self._port], local=True), "late": self._lateness.taken()}
+        """Traffic with those whom it serves; messages with everyone."""
+        messages = self._part.messages
+        return {
+            "messages_in": messages.received,
+            "messages_out": messages.sent,
+            "traffic": traffic([self._port], local=True),
+            "late": self._lateness.taken(),
+        }
 
 
 async def play() -> None:
--- a/dockthread/lab/scale/text.py
+++ b/dockthread/lab/scale/text.py
@@ -11,7 +11,8 @@
     "bytes_in_s",
     "bytes_out_s",
     "configuration_bytes_in_s",
-    "messages_s",
+    "messages_in_s",
+    "messages_out_s",
     "connections",
 )
 
--- a/tests/test_lab_scale.py
+++ b/tests/test_lab_scale.py
@@ -69,7 +69,12 @@
     for kind in ("list", "configuration"):
         assert (report[kind]["changes"], report[kind]["never"]) == (40, 0)
         assert report[kind]["lag_in_fault_ms"]["last"] > 500 and report[kind]["recovery_s"] > 0
-    assert (report["roles"]["voter"]["processes"], report["roles"]["distributor"]["processes"]) == (3, 2)
+    roles = report["roles"]
+    assert (roles["voter"]["processes"], roles["distributor"]["processes"]) == (3, 2)
+    for role in ("voter", "distributor"):
+        assert roles[role]["messages_in_s"] > 1 < roles[role]["messages_out_s"], "beats alone are one a second"
+    hollow = report["each"]["hollow"]
+    assert hollow["messages_in_s"] > 0 < hollow["messages_out_s"], "what is taken is acknowledged"
 
 
 @pytest.mark.parametrize("plant", NAMES)
