Name modules by what they hold: listener, loop_delay, gossip, estimates, quota_store

Need: doorway, pulse, mail, belief and ledger had to be explained. Change: modules, their classes and the attributes that hold them are renamed, prose follows; nothing else.

--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -6,8 +6,8 @@
 
 from dockthread.module import api
 from dockthread.module.api import NEVER_RAN, Effect, Outcome
-from dockthread.module.belief import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.module.choice import Choice
+from dockthread.module.estimates import MOST_PACE, Crowds, Reports, scarcity, smoothed
 from dockthread.module.load_trend import LoadTrend
 from dockthread.module.state import Attempt, Call, Worker
 
--- a/dockthread/module/belief.py
+++ b/dockthread/module/estimates.py
@@ -1,8 +1,8 @@
-"""What a gateway believes of workers from few answers. Decides nothing.
+"""What a gateway estimates of workers from few answers. Decides nothing.
 
 Theory of operation. With many gateways each sees little of any worker: some three answers a minute, where three
 gateways saw a hundred. A figure smoothed from nothing with a small step never leaves its start then, and a report
-is old before the next comes. So what is believed of one worker leans on what is known of its kind (`KindStats`): the
+is old before the next comes. So the estimate of one worker leans on what is known of its kind (`KindStats`): the
 mean of one worker's few answers is drawn towards its kind's by a fixed number of imagined answers (shrinkage), and
 counts alone once there are many. A report's news fades back to the kind's mean, not to nothing: a worker not heard of
 is as busy as the others, and not a free one that draws all.
@@ -80,7 +80,7 @@
         self._seen, self._at = min(self.seen + 1, 1 / PACE_STEP), self._rounds.count
         self._mean += (pace - self._mean) / self._seen
 
-    def believed(self, kind: KindStats) -> float:
+    def estimate(self, kind: KindStats) -> float:
         seen = self.seen
         return (IMAGINED * kind.pace + seen * self._mean) / (IMAGINED + seen)
 
--- a/dockthread/module/mail.py
+++ b/dockthread/module/gossip.py
@@ -1,8 +1,8 @@
-"""What gateways tell each other: queues and batches of mail, and what was heard put into memory. Decides nothing.
+"""What gateways tell each other: queues and batches of messages, and what was heard put into memory. Decides nothing.
 
 Theory of operation. Every gateway tells the others of a customer's set what it was asked for and let in, as sums
 since its start, and its attempts out. A customer of whom there is news is marked for each of the others. A round of
-mail, `(gateways - 1) / intake` seconds after the first mark, sends one message to each that has marks, so that a
+messages, `(gateways - 1) / intake` seconds after the first mark, sends one message to each that has marks, so that a
 gateway takes in what the settings allow and the news is as fresh as that permits. What does not fit into a message,
 or into the stock of messages, waits; the customers with the emptiest stores go first. A gateway that has nothing to
 tell tells it after a beat, so that its silence means something. A mark of its life goes with every message: another
@@ -16,7 +16,7 @@
 from dockthread.module.state import NEVER, Customer, Memory
 
 INTAKE_PART, STOCK = 0.8, 4  # part of an intake that all use; s of messages in stock
-ROUND_LEAST, ROUND_MOST = 0.02, 0.25  # s between the first news and its round of mail
+ROUND_LEAST, ROUND_MOST = 0.02, 0.25  # s between the first news and its round of messages
 BEAT, BEAT_ROUNDS, SILENT_BEATS = 0.5, 8, 3  # s, or rounds of all, between messages; beats without one: silent
 CLOSE = 0.25  # of a plan's window: the oldest news by which the others' use counts as known
 NOTED, MOST_TOLD = 0.4, 3  # failed part of a worker that is told; most told
@@ -24,8 +24,8 @@
 SHORT = 0.9  # of a burst: what is left less than this of is told to one that began anew
 
 
-class Mail(Memory):
-    """The gateway's post. Its parts that decide stand in the classes that follow it."""
+class Gossip(Memory):
+    """A gateway's messages to its peers, and theirs. The parts that decide stand in the classes that follow it."""
 
     sketches: list[Sketch | None]
 
@@ -62,39 +62,39 @@
     def _greet(self) -> None:
         """Each answers a greeting with the customers that are short."""
         peers = [p for p in range(self.s.gateways) if p != self.me]
-        self.mail = {p: {} for p in self.rng.sample(peers, len(peers))}
-        self._mail_soon()
+        self.unsent = {p: {} for p in self.rng.sample(peers, len(peers))}
+        self._schedule_gossip()
 
     def _beats(self) -> None:
         """At each round of housekeeping: who was told nothing for long is told that all is well."""
         if self.s.may_tell:
             for p in range(self.s.gateways):
                 if p != self.me and self.now - self.sent_at.get(p, NEVER) >= self.beat:
-                    self.mail.setdefault(p, {})
-            if self.mail:
-                self._mail_soon()
+                    self.unsent.setdefault(p, {})
+            if self.unsent:
+                self._schedule_gossip()
 
     def _report(self, key: int, c: Customer) -> None:
         """There is news of a customer: the others of its set are told with the next round."""
         if self.s.may_tell and c.spread > 1:
             for peer in self._others(c):
-                self.mail.setdefault(peer, {})[key] = None
-            self._mail_soon()
+                self.unsent.setdefault(peer, {})[key] = None
+            self._schedule_gossip()
 
-    def _mail_soon(self) -> None:
-        if not self.mailing and self.s.may_tell:
-            self.mailing = True
-            self.timer(self.now + self.round, self._send_mail)
+    def _schedule_gossip(self) -> None:
+        if not self.gossip_due and self.s.may_tell:
+            self.gossip_due = True
+            self.timer(self.now + self.round, self._send_gossip)
 
-    def _send_mail(self) -> None:
+    def _send_gossip(self) -> None:
         """On average as many messages as this gateway could take in itself; news before beats."""
-        self.stock = min(STOCK * self.intake, self.stock + self.intake * (self.now - self.mailed))
-        self.mailing, self.mailed = False, self.now
+        self.stock = min(STOCK * self.intake, self.stock + self.intake * (self.now - self.gossiped_at))
+        self.gossip_due, self.gossiped_at = False, self.now
         bad = [w for w in self.pool.failing.values() if w.failed > NOTED]
         bad.sort(key=lambda w: w.place)  # as they were listed
         suspects = [(w.code, w.failed) for w in self.rng.sample(bad, min(MOST_TOLD, len(bad)))]
-        for peer in sorted(self.mail, key=lambda p: not self.mail[p]):
-            notes = self.mail[peer]
+        for peer in sorted(self.unsent, key=lambda p: not self.unsent[p]):
+            notes = self.unsent[peer]
             if self.stock < 1 or (not notes and self.stock < STOCK * self.intake / 2):
                 break
             keys = list(notes)
@@ -107,9 +107,9 @@
             for key in keys:
                 del notes[key]
             if not notes:
-                del self.mail[peer]
-        if self.mail:
-            self._mail_soon()
+                del self.unsent[peer]
+        if self.unsent:
+            self._schedule_gossip()
 
     def _said(self, e: api.PeerSaid) -> None:
         told = message.unpack(e.data, len(self.s.plans))
@@ -130,9 +130,9 @@
         for key, c in self.customers.items():
             in_set = (peer - c.first) % self.s.gateways < c.spread
             if in_set and c.spread > 1 and c.store.left(self.now) < SHORT * c.store.burst:
-                self.mail.setdefault(peer, {})[key] = None
-        self.mail.setdefault(peer, {})
-        self._mail_soon()
+                self.unsent.setdefault(peer, {})[key] = None
+        self.unsent.setdefault(peer, {})
+        self._schedule_gossip()
 
     def _told(self, peer: int, c: Customer, r: message.Report) -> None:
         life, arrived, spent = c.told.get(peer, (-1, 0, 0))
--- a/dockthread/module/load_trend.py
+++ b/dockthread/module/load_trend.py
@@ -12,7 +12,7 @@
 
 import math
 
-from dockthread.module.belief import OWN_ROOM
+from dockthread.module.estimates import OWN_ROOM
 
 STEP = 0.003  # least weight of one more answer: the regression looks back over some 300
 FIRST = 10  # answers that the first one is averaged with, so that it does not set the means alone
--- a/dockthread/module/pool.py
+++ b/dockthread/module/pool.py
@@ -20,7 +20,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from dockthread.module.api import Group, WorkerEntry, WorkerState
-from dockthread.module.belief import Rounds
+from dockthread.module.estimates import Rounds
 
 if TYPE_CHECKING:
     from dockthread.module.state import Worker
--- a/dockthread/module/ledger.py
+++ b/dockthread/module/quota_store.py
@@ -18,7 +18,7 @@
 from __future__ import annotations
 
 
-class Store:
+class QuotaStore:
     """Units left of one customer's quota. Times in seconds."""
 
     __slots__ = ("at", "burst", "lead", "level", "over", "rate")
--- a/dockthread/module/routed.py
+++ b/dockthread/module/routed.py
@@ -8,14 +8,14 @@
 from math import inf
 
 from dockthread.module import api
-from dockthread.module.mail import Mail
+from dockthread.module.gossip import Gossip
 from dockthread.module.pool import Drawable, Sifted
 from dockthread.module.state import Attempt, Call, Worker
 
 STRICTNESS = (api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE)
 
 
-class Routed(Mail):
+class Routed(Gossip):
     """What the parts that decide ask of a request's route. Without a route each answer is what it was before."""
 
     def _fits(self, w: Worker, call: Call, cold: bool) -> bool:
--- a/dockthread/module/rules.py
+++ b/dockthread/module/rules.py
@@ -12,7 +12,7 @@
 from dockthread.module.admission import Admission
 from dockthread.module.api import ListKind, WorkerState
 from dockthread.module.attempts import DONE_OVER, TICK
-from dockthread.module.belief import scarcity
+from dockthread.module.estimates import scarcity
 
 PACE_HALF = 15.0  # s in which what its answer times told counts half
 FADE_HALF = 5.0  # s in which evidence against a worker halves, so that it returns
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -10,10 +10,10 @@
 from math import inf
 
 from dockthread.module import api
-from dockthread.module.belief import KindStats, Pace
-from dockthread.module.ledger import Store
+from dockthread.module.estimates import KindStats, Pace
 from dockthread.module.message import Report, whole, worker_code
 from dockthread.module.pool import Pool
+from dockthread.module.quota_store import QuotaStore
 
 NEVER = -1e9  # a time long ago
 DOUBLE = 8  # bytes of a figure that is kept packed
@@ -101,7 +101,7 @@
     @property
     def pace(self) -> float:
         """Answer time, in usual ones of its class."""
-        return self.kind.pace if self._times is None else self._times.believed(self.kind)
+        return self.kind.pace if self._times is None else self._times.estimate(self.kind)
 
     def took(self, pace: float) -> None:
         """An answer's time, in usual ones of its class."""
@@ -150,7 +150,7 @@
 class Customer:
     def __init__(self, number: int, plan: api.Plan, now: float, born: float) -> None:
         self.plan = number
-        self.store = Store(plan.rate, plan.burst, now)  # of its quota, as far as known here
+        self.store = QuotaStore(plan.rate, plan.burst, now)  # of its quota, as far as known here
         self.ceiling, self.ceiling_at = 0.0, born
         self.first, self.spread, self.out = 0, 1, 0
         self.rate = 0.0  # of the arrivals here
@@ -205,8 +205,8 @@
         self.tidied = now
         self.failures, self.mute = 0.0, NEVER  # failed calls to the counter in a row; until when none is made
         self.customers: dict[int, Customer] = {}
-        self.mail: dict[int, dict[int, None]] = {}  # by peer: customers to tell of
-        self.mailing, self.mailed = False, now
+        self.unsent: dict[int, dict[int, None]] = {}  # by peer: customers to tell of
+        self.gossip_due, self.gossiped_at = False, now
         self.heard: dict[int, float] = {}  # by peer: its last message
         self.sent_at: dict[int, float] = {}  # by peer: the last message to it
         self.lives: dict[int, int] = {}  # a peer's mark of its present life
@@ -268,7 +268,7 @@
             self.customers = {k: c for k, c in self.customers.items() if not c.spent_none(plans[c.plan], self.now)}
         elif len(self.customers) > MANY:  # those long idle, with full stores, are as good as new
             kept = {k: c for k, c in self.customers.items() if c.store.at > self.now - IDLE or c.out}
-            self.customers, self.mail = kept, {}
+            self.customers, self.unsent = kept, {}
 
     def timer(self, at: float, then: Callable[..., None], *about: int) -> None:
         self.token = self.token % 0xFFFFFFFF + 1
--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -20,7 +20,7 @@
 
 from dockthread.clock import Clock
 from dockthread.net import resp
-from dockthread.net.pulse import Pulse
+from dockthread.net.loop_delay import LoopDelay
 from dockthread.observer import Traffic
 
 BUFFER = 8 * 1024
@@ -57,7 +57,7 @@
     clock: Clock
     vocabulary: resp.Vocabulary
     traffic: Traffic
-    pulse: Pulse
+    loop_delay: LoopDelay
 
     @property
     def ready(self) -> bool: ...
@@ -76,7 +76,10 @@
     def __init__(self, host: Host, sock: socket.socket, came: float, surplus: bool = False) -> None:
         self._host, self.sock = host, sock
         self.since = came  # the earliest at which what was read last can have come; its own coming, at first
-        self._seen, self._beat = came, host.pulse.last  # when all that had come was read; the beat before the wait
+        self._seen, self._beat = (
+            came,
+            host.loop_delay.last,
+        )  # when all that had come was read; the beat before the wait
         self._loop = asyncio.get_running_loop()
         self._pending: deque[Slot] = deque()
         self._unsent: list[bytes] = []
@@ -231,7 +234,7 @@
                             break
                         # An answer is owed: no close, but little work; where turns are long they are pause enough.
                         pause = PAUSE if self._ignored < FLOOD else LONG_PAUSE
-                        await asyncio.sleep(0.0 if self._host.pulse.slow else pause)
+                        await asyncio.sleep(0.0 if self._host.loop_delay.slow else pause)
                     continue
                 self._host.traffic.client_in += size
                 self._feed(bytes(buffer[:size]))
@@ -246,7 +249,7 @@
                         if not self._read_ahead():
                             self.close()
                             return
-                self._ahead, self._beat = 0, self._host.pulse.last
+                self._ahead, self._beat = 0, self._host.loop_delay.last
         except OSError:
             pass
         except Exception:
@@ -286,9 +289,9 @@
 
     def _feed(self, data: bytes) -> None:
         bounds, self.used = self._bounds, self._host.clock.now()
-        pulse = self._host.pulse
+        loop_delay = self._host.loop_delay
         # It came while this waited to read, or before it did so, behind what was read before.
-        self.since = max(self._seen, pulse.since) if pulse.since >= self._beat else self._seen
+        self.since = max(self._seen, loop_delay.since) if loop_delay.since >= self._beat else self._seen
         self._seen = self.used if len(data) < BUFFER else self.since
         if bounds.between:
             self.begun = self.used
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -15,12 +15,12 @@
 from dockthread.net.counter import Counter
 from dockthread.net.decider import Decider
 from dockthread.net.destination_set import DestinationSet
-from dockthread.net.doorway import Budget, Doorway
 from dockthread.net.inbound import Inbound, Slot
 from dockthread.net.lifecycle import Lifecycle, Phase
+from dockthread.net.listener import Budget, Listener
+from dockthread.net.loop_delay import PERIOD, LoopDelay
 from dockthread.net.outbound import Outbound, OutboundCall
 from dockthread.net.peers import Peers
-from dockthread.net.pulse import PERIOD, Pulse
 from dockthread.net.request import Request, Routes
 from dockthread.net.timers import Timers
 from dockthread.net.watch import Watch
@@ -63,7 +63,7 @@
         self.address = config.listen
         self._stop = asyncio.Event()
         self._beating: asyncio.TimerHandle | None = None
-        self.pulse = Pulse(clock.now())
+        self.loop_delay = LoopDelay(clock.now())
         self.budget = Budget.of(min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
         self.destinations = DestinationSet(config.names, clock)
         self.outbound = Outbound(
@@ -78,7 +78,7 @@
             traffic=self.traffic,
         )
         self.destinations.moved = self.outbound.forget
-        self.doorway = Doorway(self, self.budget, self.outbound)
+        self.listener = Listener(self, self.budget, self.outbound)
         self.watch = Watch(config.discovery, self.destinations, clock, self._tell, config.module, config.seed)
         self.counter = Counter(config.counter, clock, self._tell, self.at, timeout=config.counter_timeout)
         self.peers = Peers(config.peers if tells else None, module.number, self._tell, self.traffic)
@@ -108,7 +108,7 @@
     @property
     def clients(self) -> int:
         """Inbound connections that stand."""
-        return len(self.doorway.inbound)
+        return len(self.listener.inbound)
 
     @property
     def held(self) -> int:
@@ -116,7 +116,7 @@
         return self._held
 
     def closed(self, connection: Inbound) -> None:
-        self.doorway.gone(connection)
+        self.listener.gone(connection)
 
     def observe(self, observer: Observer) -> None:
         """Have another observer told from now on."""
@@ -159,37 +159,37 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then answer all that was taken."""
-        doorway = self.doorway
-        self.address = doorway.listen(self.config.name, self.config.listen, self.config.inherited)
+        listener = self.listener
+        self.address = listener.listen(self.config.name, self.config.listen, self.config.inherited)
         self.watch.begin(self.config.known, self.at)
         for name, plan in zip(self.config.names.plans, self.config.module.plans, strict=True):
             self.observer.event("plan", name=name, rate=plan.rate, burst=plan.burst, ceiling=plan.ceiling_burst)
         self._housekeeping()
         self._beat()
         watching = self._loop.create_task(self.watch.run())
-        accepting = self._loop.create_task(doorway.accept())
+        accepting = self._loop.create_task(listener.accept())
         self.lifecycle.enter(Phase.SERVING)
         try:
             await self._stop.wait()
             self.lifecycle.enter(Phase.LINGERING)
             await self._pause(LINGER)
             accepting.cancel()
-            doorway.empty_backlog()
+            listener.empty_backlog()
             await self._pause(LAST_READS)
-            doorway.empty_backlog()
-            doorway.listener.close()
+            listener.empty_backlog()
+            listener.socket.close()
             self.lifecycle.enter(Phase.DRAINING)
             self.peers.close()  # nothing new is let in; at an upgrade the next process takes the address
-            for connection in list(self.doorway.inbound):
+            for connection in list(self.listener.inbound):
                 connection.end()
             # By then all is answered; what still stands is a client that does not read.
             longest = max(c.deadline for c in self.config.module.classes) * 1000.0
-            self.at(self.clock.now() + longest + LINGER, doorway.close_all)
-            await doorway.empty()
+            self.at(self.clock.now() + longest + LINGER, listener.close_all)
+            await listener.empty()
         finally:
             watching.cancel()
             accepting.cancel()
-            doorway.listener.close()
+            listener.socket.close()
             if self._beating is not None:
                 self._beating.cancel()
             self.outbound.close()
@@ -198,7 +198,7 @@
             self.lifecycle.enter(Phase.STOPPED)
 
     def _beat(self) -> None:
-        self.pulse.beat(self.clock.now())
+        self.loop_delay.beat(self.clock.now())
         self._beating = self._loop.call_later(PERIOD / 1000.0, self._beat)
 
     def _housekeeping(self) -> None:
@@ -213,9 +213,9 @@
         for request in self.requests.values():
             if request.deadline <= now + GUARDED and not request.guarded:
                 self._guard(request)
-        for connection in list(self.doorway.inbound):
+        for connection in list(self.listener.inbound):
             connection.check(now)
-        self.doorway.close_idle(now)
+        self.listener.close_idle(now)
 
     async def _pause(self, ms: float) -> None:
         over = self._loop.create_future()
@@ -242,7 +242,7 @@
         # The client counts from when it sent. The module answers two ticks before the end, and its timer may
         # ring a tick late: without this some answers came after the client had given up.
         now = self.clock.now()
-        late = self.pulse.late(connection.since, now)
+        late = self.loop_delay.late(connection.since, now)
         left = ask.time_left - min(WAY_BACK, ask.time_left / 10.0) - late
         if late and left < ask.time_left * LATE_PART:
             return self.answered_at_once(ask, "late", resp.busy(self._advice))
--- a/dockthread/net/doorway.py
+++ b/dockthread/net/listener.py
@@ -1,4 +1,4 @@
-"""The doorway: the listener, who is let in by it, and which connection goes where descriptors run short."""
+"""The listener for clients: which connections it takes, and which one goes where descriptors run short."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from dockthread.net.inbound import Host, Inbound
-from dockthread.net.pulse import Backlog
+from dockthread.net.loop_delay import Backlog
 from dockthread.settings import Address
 
 BACKLOG = 1024
@@ -49,7 +49,7 @@
     def shed(self) -> bool: ...
 
 
-class Doorway:
+class Listener:
     """Inbound connections that stand, the listener before them, and their budget."""
 
     def __init__(self, host: Host, budget: Budget, outbound: Outbounds) -> None:
@@ -62,13 +62,13 @@
     def listen(self, name: str, address: Address, inherited: int | None) -> Address:
         """Where it listens: the port may have been left to the system, or all of it to the process before."""
         if inherited is not None:  # it listens already, and the process before may still take from it
-            self.listener = socket.socket(fileno=inherited)
-            self.listener.setblocking(False)
+            self.socket = socket.socket(fileno=inherited)
+            self.socket.setblocking(False)
         else:
-            self.listener = address.listener(BACKLOG)
-        where = Address(*self.listener.getsockname()[:2])
+            self.socket = address.listener(BACKLOG)
+        where = Address(*self.socket.getsockname()[:2])
         if inherited is not None:
-            logger.info("{} takes the inherited listener {} on {}", name, self.listener.fileno(), where)
+            logger.info("{} takes the inherited listener {} on {}", name, self.socket.fileno(), where)
         else:
             logger.info("{} listens on {}", name, where)
         return where
@@ -79,7 +79,7 @@
             while len(self.inbound) >= self.budget.inbound + self.budget.surplus and not self.shed(True):
                 await asyncio.sleep(0.01)
             try:
-                sock, _ = await self._loop.sock_accept(self.listener)
+                sock, _ = await self._loop.sock_accept(self.socket)
                 self._opened(sock)
                 self.empty_backlog(ACCEPTED)
                 await asyncio.sleep(0)
@@ -95,19 +95,19 @@
             if len(self.inbound) >= self.budget.inbound + self.budget.surplus:
                 break
             try:
-                sock, _ = self.listener.accept()
+                sock, _ = self.socket.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 self._backlog.emptied()
                 return
             self._opened(sock)
-        self._backlog.not_emptied(self._host.pulse)
+        self._backlog.not_emptied(self._host.loop_delay)
 
     def _opened(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self._host.traffic.clients_opened += 1
         surplus = len(self.inbound) >= self.budget.inbound and not self.shed()
         try:
-            self.inbound.add(Inbound(self._host, sock, self._backlog.came(self._host.pulse), surplus))
+            self.inbound.add(Inbound(self._host, sock, self._backlog.came(self._host.loop_delay), surplus))
         except OSError:  # gone before it was looked at
             sock.close()
 
--- a/dockthread/net/pulse.py
+++ b/dockthread/net/loop_delay.py
@@ -1,4 +1,4 @@
-"""How late something may be read: a pulse of the loop, and the bound that follows from it. Decides nothing else.
+"""How late something may be read: a heartbeat of the loop, and the bound that follows from it. Decides nothing else.
 
 Theory of operation. A request's time runs from the moment its last byte reached this machine, and a program that is
 late with its reads does not see that moment: the system keeps no arrival times for TCP. But what is read in one turn
@@ -22,7 +22,7 @@
 HELD = 1.5  # periods between two beats that say the loop was held
 
 
-class Pulse:
+class LoopDelay:
     """Times in milliseconds on the ingress's clock."""
 
     __slots__ = ("last", "since")
@@ -54,13 +54,13 @@
     def __init__(self) -> None:
         self.left: float | None = None  # where the last look left some: when the oldest of them can have come
 
-    def came(self, pulse: Pulse) -> float:
+    def came(self, loop_delay: LoopDelay) -> float:
         """The earliest at which a connection accepted now can have come."""
-        return pulse.since if self.left is None else self.left
+        return loop_delay.since if self.left is None else self.left
 
     def emptied(self) -> None:
         self.left = None
 
-    def not_emptied(self, pulse: Pulse) -> None:
+    def not_emptied(self, loop_delay: LoopDelay) -> None:
         """A look ended with connections left, as far as is known."""
-        self.left = self.came(pulse)
+        self.left = self.came(loop_delay)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -55,17 +55,17 @@
 def drains(ingress: Ingress, clock: ManualClock) -> None:
     ingress.lifecycle.enter(Phase.LINGERING)
     ingress.lifecycle.enter(Phase.DRAINING)
-    for connection in list(ingress.doorway.inbound):
+    for connection in list(ingress.listener.inbound):
         connection.end()
 
 
 def makes_room(ingress: Ingress, clock: ManualClock) -> None:
-    ingress.doorway.budget = ingress.doorway.budget.__class__(0, 0, 9)
-    ingress.doorway.close_idle(clock.now())
+    ingress.listener.budget = ingress.listener.budget.__class__(0, 0, 9)
+    ingress.listener.close_idle(clock.now())
 
 
 def is_silent(ingress: Ingress, clock: ManualClock) -> None:
-    for connection in list(ingress.doorway.inbound):
+    for connection in list(ingress.listener.inbound):
         connection.asked = 0
         connection.check(clock.now() + inbound.SILENCE + 1)
 
@@ -83,14 +83,14 @@
         clock, backend = ManualClock(), Backend()
         async with serving(backend, clock=clock) as (ingress, usual, _):
             with resting(ingress) as sock:
-                await until(lambda: any(c.asked for c in ingress.doorway.inbound))
+                await until(lambda: any(c.asked for c in ingress.listener.inbound))
                 usual.writer.close()
                 await until(lambda: ingress.clients == 1)
                 clock.advance(5_000)
                 first, second = request(1), request(2)
                 if unread == b"half":  # it is read, and its rest comes after the end
                     sock.sendall(first[:30])
-                    await until(lambda: any(c.half for c in ingress.doorway.inbound))
+                    await until(lambda: any(c.half for c in ingress.listener.inbound))
                     second = first[30:]
                 elif unread:  # in one step with the end: the ingress cannot have read it
                     sock.sendall(first)
@@ -102,7 +102,7 @@
                 assert await asyncio.to_thread(sock.recv, 100) == b""  # an end, no reset
                 assert not ingress.requests and ingress.clients == 1
                 clock.advance(inbound.LINGER + 1)
-                for connection in list(ingress.doorway.inbound):
+                for connection in list(ingress.listener.inbound):
                     connection.check(clock.now())
                 assert ingress.clients == 0  # one that stays all the same is left with that
             assert not backend.seen
@@ -158,8 +158,8 @@
         async with serving(Backend(hangs), clock=ManualClock()) as (ingress, client, _):
             asked = 0
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
-            await until(lambda: ingress.doorway.inbound)
-            (connection,) = ingress.doorway.inbound
+            await until(lambda: ingress.listener.inbound)
+            (connection,) = ingress.listener.inbound
             while connection._writer is None:  # one by one: more than it may leave unread ends it
                 client.writer.write(command(b"PING", b"x" * 60_000))
                 asked += 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,7 @@
 from dockthread import api
 from dockthread.clock import ManualClock
 from dockthread.module.backoff import PART, Backoff
-from dockthread.module.belief import smoothed
+from dockthread.module.estimates import smoothed
 from dockthread.module.rules import Gateway
 from dockthread.net.destination_set import DestinationSet
 from dockthread.settings import Names
--- a/tests/test_pulse.py
+++ b/tests/test_loop_delay.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from dockthread.net.pulse import Backlog, Pulse
+from dockthread.net.loop_delay import Backlog, LoopDelay
 from tests.loopback import KEY, Backend, command, run, serving
 
 HELD, TIME, SLACK = 0.5, 1.0, 0.25  # s: the loop is held for; the client waits; a slow machine may take
@@ -61,17 +61,17 @@
 
 
 def test_the_bound_is_the_beat_before_the_last_or_the_last_empty_backlog() -> None:
-    pulse, backlog = Pulse(0.0), Backlog()
+    loop_delay, backlog = LoopDelay(0.0), Backlog()
     for now in (10.0, 20.0):
-        pulse.beat(now)
-    assert (pulse.since, pulse.late(pulse.since, 25.0)) == (10.0, 0.0), "nothing held the loop"
-    assert pulse.late(pulse.since, 60.0) == 50.0, "the beat has not rung, and so held it is"
-    pulse.beat(520.0)
-    assert pulse.late(pulse.since, 521.0) == 501.0
-    backlog.not_emptied(pulse)
-    pulse.beat(530.0)
-    pulse.beat(540.0)
-    assert pulse.late(pulse.since, 541.0) == 0.0
-    assert pulse.late(backlog.came(pulse), 541.0) == 521.0, "it was not taken since"
+        loop_delay.beat(now)
+    assert (loop_delay.since, loop_delay.late(loop_delay.since, 25.0)) == (10.0, 0.0), "nothing held the loop"
+    assert loop_delay.late(loop_delay.since, 60.0) == 50.0, "the beat has not rung, and so held it is"
+    loop_delay.beat(520.0)
+    assert loop_delay.late(loop_delay.since, 521.0) == 501.0
+    backlog.not_emptied(loop_delay)
+    loop_delay.beat(530.0)
+    loop_delay.beat(540.0)
+    assert loop_delay.late(loop_delay.since, 541.0) == 0.0
+    assert loop_delay.late(backlog.came(loop_delay), 541.0) == 521.0, "it was not taken since"
     backlog.emptied()
-    assert backlog.came(pulse) == 530.0
+    assert backlog.came(loop_delay) == 530.0
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -10,7 +10,7 @@
 import pytest
 
 from dockthread import api
-from dockthread.module.belief import OWN_ROOM, Crowds
+from dockthread.module.estimates import OWN_ROOM, Crowds
 from dockthread.module.load_trend import LoadTrend
 from dockthread.module.rules import Gateway
 from tests.test_fleet import settings
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,10 +13,10 @@
 from hypothesis import strategies as st
 
 from dockthread import api
-from dockthread.module import admission, attempts, mail, message, rules, sketch
+from dockthread.module import admission, attempts, gossip, message, rules, sketch
 from dockthread.module.api import Effect, Group, ListKind, Outcome, WorkerState
-from dockthread.module.belief import Reports
-from dockthread.module.ledger import Store
+from dockthread.module.estimates import Reports
+from dockthread.module.quota_store import QuotaStore
 from dockthread.module.sketch import Sketch
 
 SAFE, KEYED, UNSAFE = 0, 1, 2
@@ -253,7 +253,7 @@
     ],
 )
 def test_a_store_takes_what_both_sources_tell_once(told: list[tuple[str, float]], left: float) -> None:
-    store, by_the_counter = Store(2.0, 8.0, 0.0), 0.0
+    store, by_the_counter = QuotaStore(2.0, 8.0, 0.0), 0.0
     for source, units in told:
         if source == "messages":
             store.messages_told(units, 0.0)
@@ -506,7 +506,7 @@
     said = api.PeerSaid(1, message.pack(1, [(w.code, 0.8)], []))
     drive.give(said)
     assert w.failed == 0.0
-    drive.run(drive.now + mail.TRUST + 0.1)
+    drive.run(drive.now + gossip.TRUST + 0.1)
     drive.give(said)
     assert w.failed == pytest.approx(0.8, abs=0.01)
 
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -315,14 +315,14 @@
             assert len(ingress.outbound) == most
             # Over their budget clients still get an answer, and an idle one makes room before a busy one.
             clients = list[Client]()
-            while len(ingress.doorway.inbound) < ingress.budget.inbound:
-                standing = len(ingress.doorway.inbound)
+            while len(ingress.listener.inbound) < ingress.budget.inbound:
+                standing = len(ingress.listener.inbound)
                 clients.append(await Client.open(ingress.address.port))
-                await until(lambda: len(ingress.doorway.inbound) > standing)  # noqa: B023
+                await until(lambda: len(ingress.listener.inbound) > standing)  # noqa: B023
                 clock.advance(1)
             clock.advance(200)
             clients += [await Client.open(ingress.address.port) for _ in range(4)]
-            await until(lambda: len(ingress.doorway.inbound) == ingress.budget.inbound)
+            await until(lambda: len(ingress.listener.inbound) == ingress.budget.inbound)
             assert sum([await c.answer() is None for c in clients[:3]]) == 3
             clients[-1].send(b"PING")
             assert await clients[-1].answer() == b"PONG"
@@ -343,7 +343,7 @@
             late = [await Client.open(ingress.address.port) for _ in range(surplus + 3)]
             late[-1].asked += most
             assert await late[-1].call() == "BUSY"
-            assert len(ingress.doorway.inbound) <= most + surplus
+            assert len(ingress.listener.inbound) <= most + surplus
             clients[0].writer.close()
             await until(lambda: len(ingress.requests) < most)
             again = await Client.open(ingress.address.port)
@@ -361,18 +361,18 @@
             assert await usual.answer() == b"PONG"
             silent, half = [await Client.open(ingress.address.port) for _ in range(2)]
             half.writer.write(b"*4\r\n$8\r\nAPI.READ\r\n$16\r\n0000")
-            await until(lambda: any(c.half for c in ingress.doorway.inbound))
+            await until(lambda: any(c.half for c in ingress.listener.inbound))
             clock.advance(1_400)
             ingress._housekeeping()
-            assert len(ingress.doorway.inbound) == 3
+            assert len(ingress.listener.inbound) == 3
             clock.advance(200)
             ingress._housekeeping()
             assert await silent.answer() is None
             silent.writer.close()
-            await until(lambda: len(ingress.doorway.inbound) == 2)
+            await until(lambda: len(ingress.listener.inbound) == 2)
             clock.advance(1_000)  # a head may take 2 s to come whole
             ingress._housekeeping()
-            assert any(c.half for c in ingress.doorway.inbound)
+            assert any(c.half for c in ingress.listener.inbound)
             clock.advance(500)
             ingress._housekeeping()
             assert [await half.answer(), await half.answer()] == [
@@ -391,10 +391,10 @@
             assert [await usual.call() for _ in range(2)] == [b"value"] * 2
             others = [await Client.open(ingress.address.port)]
             others[0].writer.write(b"*1\r\n")
-            await until(lambda: any(c.half for c in ingress.doorway.inbound))
+            await until(lambda: any(c.half for c in ingress.listener.inbound))
             clock.advance(1)
             others += [await Client.open(ingress.address.port) for _ in range(ingress.budget.inbound - 2)]
-            await until(lambda: len(ingress.doorway.inbound) == ingress.budget.inbound)
+            await until(lambda: len(ingress.listener.inbound) == ingress.budget.inbound)
             clock.advance(200)
             others.append(await Client.open(ingress.address.port))
             assert await others[0].answer() is None  # half a command holds no descriptor
@@ -425,11 +425,11 @@
                 one.ask()
             assert [await one.answer() for one in new] == [b"value"] * 5
             clock.advance(200)
-            silent = next(iter(ingress.doorway.inbound))
+            silent = next(iter(ingress.listener.inbound))
             silent.sock = Unread(silent.sock)  # type: ignore[assignment]
-            while ingress.doorway.shed():
+            while ingress.listener.shed():
                 pass
-            assert ingress.doorway.inbound == {silent}  # what is here unread is a claim
+            assert ingress.listener.inbound == {silent}  # what is here unread is a claim
 
     run(scenario())
 
@@ -491,10 +491,10 @@
                     away.writer.close()
                     await until(lambda: not ingress.requests)
                     idle = await Client.open(ingress.address.port)
-                    await until(lambda: len(ingress.doorway.inbound) == 2)
-                    next(c for c in ingress.doorway.inbound if c.idle and not c.asked).close()
+                    await until(lambda: len(ingress.listener.inbound) == 2)
+                    next(c for c in ingress.listener.inbound if c.idle and not c.asked).close()
                     assert await idle.answer() is None
-                await until(lambda: len(ingress.doorway.inbound) == 1)
+                await until(lambda: len(ingress.listener.inbound) == 1)
                 clock.advance(300)  # the timers of their connecting are over
                 ingress.timers.run()
                 # Each held 8 to 16 KiB and more until a collection, and those are far between.
