Prove published routes again when a SIGHUP changes the settings

Need: a class may change its effect at SIGHUP, and a published route stayed in force that the new settings forbid; one refused for want of a class stayed refused. Change: the subscriber hands its owner all that it holds once more (apply_again); a resource refused at its own revision is withdrawn, not kept as the last good one. Measured: tests/test_distribution_rim.py, 8 passed; the new test plays a server, an ingress and a SIGHUP that makes a class one that must never run twice.

--- a/dockthread/distribution/client.py
+++ b/dockthread/distribution/client.py
@@ -167,6 +167,10 @@
             await self._cache.close()
         await asyncio.sleep(0)
 
+    def apply_again(self) -> None:
+        """Hand the owner all that is held once more, as it judges by other settings now."""
+        self._do(self.subscriber.apply_again())
+
     @property
     def idle(self) -> bool:
         """Nothing waits for the owner."""
--- a/dockthread/distribution/ingress.py
+++ b/dockthread/distribution/ingress.py
@@ -63,6 +63,11 @@
             counter=self._addresses.get("counter", config.counter),
         )
 
+    def settings_changed(self) -> None:
+        """Prove all that was published by the settings that hold now: what has become bad goes, with a reason told,
+        and what was refused before may be good."""
+        self.client.apply_again()
+
     # What its client tells (client.py, Owner)
 
     def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
@@ -71,6 +76,7 @@
         for one in changes:
             if reason := self._apply(one):
                 refused.append(Rejection(one.kind, one.name, one.revision, reason))
+                self._withdraw(one)
                 continue
             if one.body is None:
                 self._in_force.pop((one.kind, one.name), None)
@@ -91,6 +97,14 @@
             logger.warning(told, len(self._refused), first.kind, first.name, first.revision, first.reason)
             self._refused = []
 
+    def _withdraw(self, refused: Resource) -> None:
+        """A resource that was good by earlier settings is not its own last good one."""
+        key = refused.kind, refused.name
+        held = self._in_force.get(key)
+        if held is not None and held.revision == refused.revision:
+            del self._in_force[key]
+            self._apply(Resource(refused.kind, refused.name, refused.revision, None))
+
     def _apply(self, one: Resource) -> str:
         """The reason where it is refused."""
         try:
--- a/dockthread/distribution/subscriber.py
+++ b/dockthread/distribution/subscriber.py
@@ -196,6 +196,12 @@
             self._acknowledge()
         return self._take()
 
+    def apply_again(self) -> list[Action]:
+        """The owner judges by other settings now: it is given all that is held once more."""
+        if held := tuple(self.table.live()):
+            self._changed(held, complete=False)
+        return self._take()
+
     def set_servers(self, now: float, servers: Sequence[Server]) -> list[Action]:
         """Another list; the connection stays where its server is still in it."""
         self._choice.set(servers)
--- a/dockthread/serve.py
+++ b/dockthread/serve.py
@@ -238,13 +238,18 @@
 
     def _take_over(self, config: Config, read: Read | None) -> None:
         """First the classes, which routes may name."""
+        ingress = self.ingress
+        before = ingress.config.module, ingress.config.names
         if self._controlled is not None:
             config = self._controlled.layered(config)
-        self.ingress.reconfigure(config)
+        ingress.reconfigure(config)
         if self._routes is not None:
-            self._routes.set_settings(self.ingress.config.module, self.ingress.config.names)
+            self._routes.set_settings(ingress.config.module, ingress.config.names)
         if read is not None:
             self._apply_routes(read)
+        if self._controlled is not None and (ingress.config.module, ingress.config.names) != before:
+            self._controlled.settings_changed()
+        if read is not None:
             for section, held in (("fleet", self._fleet), ("control", self._control)):
                 if read.named(section)[""] != held:
                     logger.warning("[{}] has changed: it holds from the next start on", section)
--- a/tests/test_distribution_rim.py
+++ b/tests/test_distribution_rim.py
@@ -209,3 +209,44 @@
         assert found is not None and found.rules.name == "b"
 
     run(scenario())
+
+
+def test_published_routes_are_proved_again_by_the_settings_of_a_reload(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path, file = tmp_path / "config.json", tmp_path / "my.ini"
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    status, checkout = SETTINGS["Classes"]
+    renew = {**status, "Name": "renew"}
+
+    def configure(*classes: dict[str, Any]) -> None:
+        path.write_text(json.dumps(raw_config(LIST, 9, settings={**SETTINGS, "Classes": classes})))
+
+    async def scenario(server: Server, at: Address) -> None:
+        configure(status, checkout)
+        file.write_text(f"[route status twice]\nclass = status\n[control]\nrole = ingress\nservers = {at}\n")
+        for name, route_class in (("status twice", "status"), ("renew twice", "renew")):
+            body = json.dumps({"class": route_class, "copies": "yes"}).encode()
+            server.table.put(Resource("route", name, server.table.revision + 1, body))
+        config = read_config({"NODE_CONFIG": str(path)})
+        daemon = Daemon(config, str(file), load(str(file), config.module, config.names))
+        daemon._receive()
+        controlled, layers = daemon._controlled, daemon._routes
+        assert controlled is not None and layers is not None
+        subscriber = controlled.client.subscriber
+        await until(lambda: [one.name for one in subscriber.rejections] == ["renew twice"])
+        assert set(layers.published) == {"status twice"}
+
+        configure({**status, "Effect": "side_effect"}, checkout, renew)
+        daemon.reload()
+        await until(lambda: [one.name for one in subscriber.rejections] == ["status twice"])
+        assert set(layers.published) == {"renew twice"}, "what must never run twice is not copied any more"
+        assert "would run a request twice" in subscriber.rejections[0].reason
+        names = daemon.ingress.config.names.classes
+        found = layers.table.find(Facts(names.index("status"), 0, False, 1, 1, False))
+        assert found is not None and not found.rules.copies, "the file's route holds in its place"
+        await until(lambda: [one.name for one in server.status().subscribers[0].rejected] == ["status twice"])
+        await controlled.close()
+
+    served(scenario)
