--- a/dockthread/fleet/link.py
+++ b/dockthread/fleet/link.py
@@ -40,6 +40,7 @@
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def send(self, message: wire.Message) -> None:
+        """Queue a message; the oldest are dropped where too many wait."""
         if isinstance(message, wire.Install) and len(message.state) > wire.PART:
             self._send_state(message)
         else:
--- a/dockthread/lab/arrivals.py
+++ b/dockthread/lab/arrivals.py
@@ -21,6 +21,8 @@
 
 
 class Arrival(NamedTuple):
+    """One request of a load. `at`: seconds from the load's begin."""
+
     at: float
     request_class: str
     plan: str
@@ -40,6 +42,7 @@
 
     @property
     def requests(self) -> float:
+        """How many are expected to come in it."""
         return self.length * (self.begin + self.end) / 2.0
 
     def after(self, many: float) -> float:
@@ -94,6 +97,7 @@
     gateways: int = 1
 
     def draw(self, rng: random.Random, at: float) -> Arrival:
+        """A request that comes at a time, drawn by the weights."""
         kind = rng.choices([c for c, _ in self.classes], [w for _, w in self.classes])[0]
         plan = rng.choices([p for p, _ in self.plans], [w for _, w in self.plans])[0]
         rank = int(self.firms * rng.random() ** (1.0 + self.skew))
--- a/dockthread/lab/load.py
+++ b/dockthread/lab/load.py
@@ -42,9 +42,11 @@
         self.answered: Callable[[object], None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """From asyncio: the connection is open."""
         self.transport: asyncio.Transport = transport  # type: ignore[assignment]  # uvloop has a class of its own
 
     def data_received(self, data: bytes) -> None:
+        """From asyncio: bytes came; one that cannot be parsed ends the connection."""
         self.reader.feed(data)
         try:
             answer = self.reader.gets()
@@ -56,6 +58,7 @@
             answered(answer)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """From asyncio: the connection is gone."""
         self._lost(self)
 
 
@@ -69,6 +72,7 @@
 
 
 def command(one: Arrival, target: Target, number: int) -> bytes:
+    """A request as clients write it."""
     verb = b"API.WRITE" if one.request_class in target.writes else b"API.READ"
     left = target.deadlines[one.request_class] * 1000.0
     terms = f"c={one.request_class},t={one.plan},d={left:.0f},units={one.units},spread={one.spread},first={one.first}"
@@ -92,6 +96,7 @@
         self.progress: Callable[[int], None] = lambda asked: None
 
     async def run(self, arrivals: Iterable[Arrival]) -> Outcome:
+        """Send all in their time and wait for the last answers; what became of them."""
         begun, cpu = time.perf_counter(), time.process_time()
         last = 0.0
         for one in arrivals:
--- a/dockthread/lab/outcome.py
+++ b/dockthread/lab/outcome.py
@@ -18,6 +18,7 @@
 
 
 def histogram() -> Any:
+    """An empty histogram of times, in microseconds."""
     return HdrHistogram(LEAST, MOST, DIGITS)
 
 
@@ -35,6 +36,7 @@
     cpu: float = 0.0  # s, of the tool
 
     def note(self, request_class: str, outcome: str, seconds: float | None) -> None:
+        """One request has ended. `seconds`: until its answer, None where none came."""
         self.counts[request_class, outcome] += 1
         if seconds is not None:
             if request_class not in self.times:
@@ -42,6 +44,7 @@
             self.times[request_class].record_value(min(MOST, max(LEAST, int(seconds * 1e6))))
 
     def started(self, late: float) -> None:
+        """One more request was sent, `late` seconds after it was due."""
         self.asked += 1
         self.lateness.record_value(min(MOST, max(LEAST, int(late * 1e6))))
 
@@ -54,6 +57,7 @@
         return ""
 
     def total(self, outcome: str) -> int:
+        """Requests of all classes that ended so."""
         return sum(many for (_, word), many in self.counts.items() if word == outcome)
 
     def packed(self) -> dict[str, Any]:
@@ -69,6 +73,7 @@
         }
 
     def add(self, packed: dict[str, Any]) -> None:
+        """Add what another process counted."""
         for name, outcome, many in packed["counts"]:
             self.counts[name, outcome] += many
         for name, text in packed["times"].items():
--- a/dockthread/lab/processes.py
+++ b/dockthread/lab/processes.py
@@ -30,6 +30,7 @@
     trace: Path | None = None
 
     def arrivals(self) -> Iterator[Arrival]:
+        """All requests of all processes, in their order."""
         if self.trace is not None:
             return read_trace(self.trace)
         assert self.mix is not None, "without a trace there is a mix"
--- a/dockthread/lab/scale/channel.py
+++ b/dockthread/lab/scale/channel.py
@@ -50,11 +50,13 @@
 
     @property
     def pid(self) -> int:
+        """The id of the process, which has been started."""
         assert self._process is not None, "a process is asked for its id once it has started"
         return self._process.pid
 
     @property
     def running(self) -> bool:
+        """Whether the process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
     async def ask(self, command: str, within: float = ANSWER_WITHIN, **told: Any) -> Words:
--- a/dockthread/lab/scale/control.py
+++ b/dockthread/lab/scale/control.py
@@ -41,6 +41,7 @@
     # What the client tells its owner
 
     def apply(self, changes: Sequence[Resource]) -> Sequence[Rejection]:
+        """Pass changes on, altered where there is a planted bug, and note what was older."""
         applied = changes if self._alter is None else self._alter(changes)
         rejections = self._owner.apply(applied)
         for one in applied:  # what was refused comes again at the end of its batch
@@ -51,8 +52,10 @@
         return rejections
 
     def in_force(self, kind: str, name: str) -> Resource | None:
+        """What the owner holds under a key."""
         return self._owner.in_force(kind, name)
 
     def settled(self) -> None:
+        """All that was given has been dealt with: note how far that is."""
         self._owner.settled()
         self.come_to(max(self._highest, self._revision))
--- a/dockthread/lab/scale/discovery.py
+++ b/dockthread/lab/scale/discovery.py
@@ -38,6 +38,7 @@
 
 
 def chunk(line: bytes) -> bytes:
+    """One line of a watch as a chunk of HTTP."""
     return b"%x\r\n%b\n\r\n" % (len(line) + 1, line)
 
 
@@ -120,6 +121,7 @@
             yield self.change(number, state="left")
 
     def zone_returns(self) -> Iterator[bytes]:
+        """Chunks that list the zone's backends again."""
         for number in self._of_zone():
             yield self.change(number, state="active", boot_ms=round(time.time() * 1000))
 
@@ -137,9 +139,11 @@
         self.stands = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """From asyncio: the connection is open."""
         self.transport = transport  # type: ignore[assignment]  # uvloop has a class of its own
 
     def data_received(self, data: bytes) -> None:
+        """From asyncio: bytes came; a whole request opens the watch."""
         self._head += data
         if not self.stands and b"\r\n\r\n" in self._head:
             self.stands = True
@@ -147,9 +151,11 @@
             self._serving.begun(self, int(after or 0))
 
     def connection_lost(self, error: Exception | None) -> None:
+        """From asyncio: the connection is gone."""
         self._serving.watches.discard(self)
 
     def say(self, data: bytes) -> None:
+        """Write to the watch; held back while it is cut off."""
         if self._cuttable and self._serving.cut:
             self._held.append(data)
         elif self.transport is not None and not self.transport.is_closing():
@@ -157,6 +163,7 @@
             self.transport.write(data)
 
     def heal(self) -> None:
+        """The cut is over: write what was held back."""
         held, self._held = self._held, []
         for data in held:
             self.say(data)
@@ -177,6 +184,7 @@
         self._publishing: asyncio.Task[None] | None = None
 
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         self._plan = plan_of(told["plan"])
         self.book = Book(self._plan, told["backend_port"])
         loop = asyncio.get_running_loop()
@@ -190,6 +198,7 @@
         return lambda: Watched(self, cuttable)
 
     def begun(self, watch: Watched, after: int) -> None:
+        """A watch stands that knows all up to the revision `after`."""
         assert self.book is not None, "a watch comes only once there is a port"
         self.watches.add(watch)
         changes = self.book.since(after) if after else None
@@ -209,6 +218,7 @@
     # Commands
 
     async def open(self, told: Words) -> Words:
+        """Publish the whole list, which was empty until then."""
         assert self.book is not None
         self._push(self.book.open())
         return {"revision": self.book.revision}
@@ -249,6 +259,7 @@
         return {"revision": self.book.revision, "at": time.monotonic()}
 
     async def state(self, told: Words) -> Words:
+        """What the run reads at the begin and the end of a window."""
         assert self.book is not None
         return {
             "watches": len(self.watches),
@@ -268,6 +279,7 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     discovery = Discovery()
     await serve_commands(
         {
--- a/dockthread/lab/scale/distribution.py
+++ b/dockthread/lab/scale/distribution.py
@@ -35,10 +35,12 @@
 
     @property
     def servers(self) -> list[str]:
+        """The distributors' addresses."""
         return [str(one) for one in self._distributor_at]
 
     @property
     def measured(self) -> list[Child]:
+        """The processes whose costs are reported."""
         return [*self.voters, *self.distributors]
 
     def told(self) -> Words:
@@ -46,6 +48,7 @@
         return {"servers": [self.servers, self.relayed], "key_file": str(self.key_file)}
 
     async def start(self) -> None:
+        """Start voters, then distributors, the relay and the publisher."""
         await asyncio.gather(*(self._start(child, self._voter_file(child.number)) for child in self.voters))
         await asyncio.gather(
             *(self._start(child, self._distributor_file(child.number)) for child in self.distributors)
@@ -61,6 +64,7 @@
         return int((await self.publisher.ask("fill", within=FILLING))["revision"])
 
     async def end(self) -> None:
+        """End all processes, those that depend on others first."""
         everyone = [self.publisher, self.relay, *self.distributors, *self.voters]
         await asyncio.gather(*(child.end() for child in everyone))
         for one in self._held:
--- a/dockthread/lab/scale/fit.py
+++ b/dockthread/lab/scale/fit.py
@@ -81,9 +81,11 @@
 
     @property
     def fits(self) -> bool:
+        """Whether the misfit is small enough for the line to be used."""
         return self.misfit <= FITS
 
     def at(self, size: dict[str, float]) -> float:
+        """The figure at a size."""
         return self.constant + sum(slope * value_of(term, size) for term, slope in self.slopes.items())
 
 
@@ -97,6 +99,7 @@
 
 
 def size_of(report: dict[str, Any]) -> dict[str, float]:
+    """The sizes of a run, by the names that a fit has for them."""
     return {name: float(report["size"].get(key, 0.0)) for name, key in SIZES.items()}
 
 
--- a/dockthread/lab/scale/hollow.py
+++ b/dockthread/lab/scale/hollow.py
@@ -39,11 +39,13 @@
     alter: Alteration | None = None
 
     def apply(self, message: Any, cached: bool = False) -> api.WorkersListed:
+        """Take over a list, altered first."""
         if self.alter is not None and (message := self.alter(message)) is None:
             return api.WorkersListed(api.ListKind.CHANGES, ())
         return super().apply(message, cached)
 
     def parts(self, message: Any) -> Iterator[api.WorkersListed]:
+        """Take over a list in parts, altered first."""
         if self.alter is None or (message := self.alter(message)) is not None:
             yield from super().parts(message)
 
@@ -98,6 +100,7 @@
         self._watching = asyncio.get_running_loop().create_task(self.watch.run())
 
     async def stop(self) -> None:
+        """End this life: its connections and its watch."""
         self._stopped = True
         if self._controlled is not None:
             await self._controlled.close()
@@ -112,6 +115,7 @@
         return self._controlled.client.messages.sent if self._controlled is not None else 0
 
     def table(self) -> list[Row]:
+        """The backends that it holds, for the checker."""
         return table(self.gateway, self.destinations)
 
     def _listed(self, listed: api.WorkersListed) -> None:
--- a/dockthread/lab/scale/host.py
+++ b/dockthread/lab/scale/host.py
@@ -20,6 +20,7 @@
 
 
 def names_of(told: Words) -> Names:
+    """The names in settings as the platform words them."""
     return Names(
         classes=tuple(one["Name"] for one in told["Classes"]),
         plans=tuple(one["Name"] for one in told["Packages"]),
@@ -41,6 +42,7 @@
         self._control_ports: list[int] = []
 
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         self._plan, self._ports = plan_of(told["plan"]), told["discovery"]
         words, control = settings(self._plan.ingresses), told["control"]
         first, cut = (Address(HOST, port) for port in self._ports)
@@ -87,6 +89,7 @@
         return {"at": time.monotonic()}
 
     async def state(self, told: Words) -> Words:
+        """What the run reads at the begin and the end of a window."""
         seen: list[Observed] = [*self._witnesses.values(), *self._controls.values()]
         return {
             "lowest": min((one.reached for one in self._witnesses.values()), default=-1),
@@ -99,6 +102,7 @@
         }
 
     async def findings(self, told: Words) -> Words:
+        """What the checker and the report need of all ingresses here."""
         tables = {number: one.table() for number, one in self._ingresses.items()}
         routes = {number: rows(one.layers) for number, one in self._ingresses.items() if number in self._controls}
         found = findings(list(self._witnesses.values()), tables, self._in_force)
@@ -106,6 +110,7 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     host = Host()
     await serve_commands(
         {
--- a/dockthread/lab/scale/load.py
+++ b/dockthread/lab/scale/load.py
@@ -16,7 +16,10 @@
 
 
 class Load:
+    """The process that sends clients' requests to the real ingresses."""
+
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         self._seed, self._rate = int(told["seed"]), float(told["rate"])
         return {}
 
@@ -34,5 +37,6 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     load = Load()
     await serve_commands({"begin": load.begin, "send": load.send})
--- a/dockthread/lab/scale/plan.py
+++ b/dockthread/lab/scale/plan.py
@@ -88,10 +88,12 @@
 
     @property
     def ingresses(self) -> int:
+        """Real and hollow ones."""
         return self.real + self.hollow
 
     @property
     def host_count(self) -> int:
+        """Processes that hold the hollow ingresses."""
         return self.hosts or min(MOST_HOSTS, -(-self.hollow // HOSTED))
 
     def shares(self) -> list[list[int]]:
@@ -120,6 +122,7 @@
 
 
 def zone_name(number: int) -> str:
+    """The zone in which a backend or an ingress lies, by its number."""
     return f"zone-{number % ZONES}"
 
 
--- a/dockthread/lab/scale/publisher.py
+++ b/dockthread/lab/scale/publisher.py
@@ -22,6 +22,7 @@
     """`accepted`: revision, when it was sent, name, version (None: deleted)."""
 
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         self._voters = [Address.parse(one) for one in told["voters"]]
         self._key, self._rng = read_key(told["key_file"]), random.Random(f"{told['seed']} routes")
         self._routes = int(told["routes"])
@@ -91,9 +92,11 @@
         return await self.state({})
 
     async def state(self, told: Words) -> Words:
+        """What the run reads at the begin and the end of a window."""
         return {"revision": max((one[0] for one in self.accepted), default=0)}
 
     async def log(self, told: Words) -> Words:
+        """All that was accepted and refused, for the checker."""
         return {
             "changes": sorted(self.accepted),
             "late_starts": sorted(self._late),
@@ -102,6 +105,7 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     publisher = Publisher()
     await serve_commands(
         {
--- a/dockthread/lab/scale/real.py
+++ b/dockthread/lab/scale/real.py
@@ -24,6 +24,7 @@
         self._daemon, self._witness = daemon, witness
 
     def event(self, what: str, **figures: object) -> None:
+        """From the ingress: a list was told to the module."""
         if what == "list":
             ingress = self._daemon.ingress
             self._witness.heard(ingress.destinations.revision, ingress.gateway)
@@ -62,6 +63,7 @@
         return {"port": ingress.address.port}
 
     async def state(self, told: Words) -> Words:
+        """What the run reads at the begin and the end of a window."""
         control = self._control
         return {
             "lowest": self._witness.reached,
@@ -74,6 +76,7 @@
         }
 
     async def findings(self, told: Words) -> Words:
+        """What the checker and the report need of this ingress."""
         ingress, number = self._daemon.ingress, self._witness.number
         found = findings([self._witness], {number: table(ingress.gateway, ingress.destinations)}, self._in_force)
         found |= {"number": number, "reached": self._witness.reached, "reached_configuration": 0}
@@ -86,5 +89,6 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     real = Real()
     await serve_commands({"begin": real.begin, "state": real.state, "findings": real.findings})
--- a/dockthread/lab/scale/relay.py
+++ b/dockthread/lab/scale/relay.py
@@ -58,10 +58,12 @@
         self._passing.set()
 
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         self._relays = [Relay(Address.parse(server), self._passing) for server in told["servers"]]
         return {"ports": [await one.open() for one in self._relays]}
 
     async def cut(self, told: Words) -> Words:
+        """Hold back what passes, or let it pass again."""
         if told["cut"]:
             self._passing.clear()
         else:
@@ -70,5 +72,6 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     relays = Relays()
     await serve_commands({"begin": relays.begin, "cut": relays.cut})
--- a/dockthread/lab/scale/report.py
+++ b/dockthread/lab/scale/report.py
@@ -42,10 +42,12 @@
 
 
 def quantile(ordered: list[float], part: float) -> float:
+    """The value below which a part of the ordered ones lies; not a number where there is none."""
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else math.nan
 
 
 def summary_of(found: list[float]) -> dict[str, float]:
+    """Median, 99th percentile and last; empty where nothing was found."""
     ordered = sorted(found)
     if not ordered:
         return {}
@@ -87,6 +89,7 @@
 
 
 def list_lags(run: Run) -> dict[str, Any]:
+    """How late changes of the list were in force."""
     changes = [one for one in run.log["changes"] if one[0] != run.opened]
     fault = {name: run.fault[name] for name in ("begun", "ended", "revision")} if run.fault else {}
     found = [*run.findings, *run.ended]
@@ -97,6 +100,7 @@
 
 
 def configuration_lags(run: Run) -> dict[str, Any] | None:
+    """How late changes of configuration were in force; None where nothing distributes it."""
     if not run.plan.distributes:
         return None
     fault = {}
--- a/dockthread/lab/scale/role.py
+++ b/dockthread/lab/scale/role.py
@@ -16,6 +16,7 @@
 
 
 def main(role: str) -> None:
+    """Run one process of a scale run: `role` names a module of this package."""
     if role not in ROLES:
         raise SystemExit(f"{role!r} is none of {', '.join(ROLES)}")
     logger.remove()
--- a/dockthread/lab/scale/routes.py
+++ b/dockthread/lab/scale/routes.py
@@ -15,6 +15,7 @@
 
 
 def name_of(number: int) -> str:
+    """A route's name by its number."""
     return f"route-{number:05d}"
 
 
--- a/dockthread/lab/scale/run.py
+++ b/dockthread/lab/scale/run.py
@@ -35,6 +35,7 @@
         self._before: dict[Child, tuple[Usage, Words]] = {}
 
     async def begin(self, children: list[Child]) -> None:
+        """Read every process at the window's begin."""
         states = await asyncio.gather(*(child.ask("state") for child in children))
         self._before = {child: (read_usage(child.pid), state) for child, state in zip(children, states, strict=True)}
 
@@ -72,11 +73,13 @@
 
     @property
     def children(self) -> list[Child]:
+        """The processes that are measured."""
         control = self.distribution.measured if self.distribution is not None else []
         return [self.discovery, self.backends, self.baseline, *control, *self.hosts, *self.reals.values()]
 
     @property
     def ingresses(self) -> list[Child]:
+        """The processes that hold ingresses."""
         return [*self.hosts, *self.reals.values()]
 
     async def play(self) -> None:
--- a/dockthread/lab/scale/server.py
+++ b/dockthread/lab/scale/server.py
@@ -16,10 +16,13 @@
 
 
 class ControlServer:
+    """The process of one voter or distributor."""
+
     def __init__(self) -> None:
         self._lateness = Lateness()
 
     async def begin(self, told: Words) -> Words:
+        """Start, by the run's first words."""
         read = load(told["file"])
         options = read.one("control")
         rng = random.Random(secrets.randbits(64))
@@ -46,5 +49,6 @@
 
 
 async def play() -> None:
+    """Serve the run's commands until the standard input ends."""
     server = ControlServer()
     await serve_commands({"begin": server.begin, "state": server.state})
--- a/dockthread/lab/scale/text.py
+++ b/dockthread/lab/scale/text.py
@@ -18,6 +18,7 @@
 
 
 def lines(report: dict[str, Any]) -> list[str]:
+    """A report, a line for each part."""
     size = report["size"]
     out = [
         f"{size['ingresses']} ingresses ({size['real']} real, {size['hollow']} hollow), {size['backends']} backends"
--- a/dockthread/lab/scale/usage.py
+++ b/dockthread/lab/scale/usage.py
@@ -50,6 +50,7 @@
 
 
 def read_usage(pid: int) -> Usage:
+    """What a process uses now. Raises Gone."""
     return Usage(time.monotonic(), cpu_seconds(pid), resident(pid))
 
 
@@ -90,6 +91,7 @@
         self._found: list[float] = []
 
     async def watch(self) -> None:
+        """Look at the loop for as long as it runs."""
         while True:
             due = time.monotonic() + BEAT
             await asyncio.sleep(BEAT)
--- a/dockthread/lab/scale/witness.py
+++ b/dockthread/lab/scale/witness.py
@@ -32,6 +32,7 @@
             self.last[number] = now
 
     def told(self) -> list[list[float]]:
+        """For the tool: revision, at how many ingresses, and since when at the last."""
         return [[number, many, self.last[number]] for number, many in sorted(self.count.items())]
 
 
@@ -72,6 +73,7 @@
         self._held: dict[int, float] = {}  # weights by worker, of what changed in the present life
 
     def new_life(self, first: bool) -> None:
+        """It starts with an empty memory."""
         super().new_life(first)
         self._held = {}
 
--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -20,6 +20,8 @@
 
 
 class Admission(Attempts):
+    """Lets requests in or refuses them."""
+
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         windows = [p.burst / p.rate if p.rate > 0 else self.tight * bool(p.most_out) for p in settings.plans]
--- a/dockthread/module/api.py
+++ b/dockthread/module/api.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum
 from math import inf
-from typing import Protocol
+
+from dockthread.module.route import Route as Route
 
 
 class Effect(Enum):
@@ -29,6 +30,8 @@
 
 
 class WorkerState(Enum):
+    """Whether a worker takes requests, finishes those it has, or is gone."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
@@ -63,6 +66,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """What requests of one class are worth, and by when. Times in seconds."""
+
     aim: float
     deadline: float
     worth: float = 1.0
@@ -94,6 +99,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Safety:
+    """Figures of the rules. Times in seconds."""
+
     answer_slack: float = 0.0
     drain_grace: float = 0.0
     cold_share: float = 1.0
@@ -120,6 +127,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """All that a gateway is told before its first event. Times in seconds."""
+
     number: int
     gateways: int
     classes: tuple[RequestClass, ...]
@@ -148,6 +157,8 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
+    """One worker as it is listed. `started`: s on the module's clock, 0 for long ago."""
+
     worker: int
     state: WorkerState
     zone: int = 0
@@ -159,36 +170,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkersListed:
+    """A list of workers, or changes of it."""
+
     kind: ListKind
     entries: tuple[WorkerEntry, ...]
 
 
-class Route(Protocol):
-    """What is allowed to one request beyond the rules: it narrows, and widens nothing. Times in seconds."""
-
-    @property
-    def waits(self) -> bool: ...
-    @property
-    def queue_wait(self) -> float: ...
-    @property
-    def narrow(self) -> bool: ...
-    @property
-    def attempt_timeout(self) -> float: ...
-    def fits(self, entry: WorkerEntry) -> bool: ...
-    def enter(self, request: int, worth: float, now: float) -> tuple[bool, int | None]: ...
-    def admitted(self, now: float) -> None: ...
-    def gave_up_waiting(self, request: int) -> None: ...
-    def leave(self, request: int) -> list[int]: ...
-    def sent(self, number: int, now: float) -> None: ...
-    def copy_after(self) -> float | None: ...
-    def copy(self, sent: int, now: float) -> bool: ...
-    def again(self, sent: int, outcome: Outcome, now: float) -> float | None: ...
-    def still(self, sent: int, outcome: Outcome) -> bool: ...
-    def ended(self, number: int, outcome: Outcome, took: float, now: float) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
+    """A request has been read. `time_left`: s until its client waits no more."""
+
     request: int
     request_class: int
     plan: int
@@ -202,6 +193,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamBegun:
+    """The answer of an attempt has begun to pass on to the client."""
+
     request: int
     attempt: int
     worker: int
@@ -225,16 +218,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientGone:
+    """The client has closed its connection."""
+
     request: int
 
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
+    """The time of a `SetTimer` has come."""
+
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
+    """The end of a `Probe`."""
+
     worker: int
     outcome: Outcome
     took: float
@@ -243,6 +242,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerSaid:
+    """A message of another gateway."""
+
     peer: int
     data: bytes
 
@@ -302,18 +303,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
+    """Give up an attempt that is out."""
+
     request: int
     attempt: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Tell `TimerFired` at a time on the module's clock."""
+
     at: float
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Ask a worker how it is, without a request."""
+
     worker: int
 
 
--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -25,6 +25,8 @@
 
 
 class Attempts(Choice):
+    """Begins, repeats, copies and ends attempts."""
+
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.reports, self.crowds, self.trend = Reports(settings.load_names), Crowds(), LoadTrend()
--- a/dockthread/module/choice.py
+++ b/dockthread/module/choice.py
@@ -13,6 +13,8 @@
 
 
 class Choice(Warming):
+    """Chooses the worker of an attempt."""
+
     def _choose(self, call: Call) -> Worker | None:
         """Drawn by their shares, so that gateways neither herd nor, in sum, push a cold worker over (rule 4):
         of a first attempt's drawn only as many may be cold as times what it can do a cold worker stands, less
@@ -22,9 +24,8 @@
         ran, used = call.ran(), {a.worker for a in call.attempts}
         pool = self._subset(call, self.pool)
         if ran is not None and (effect := self._effect(call)) is not Effect.SAFE:  # rule 2
-            home, ends = self.workers[ran.worker].entry, ran.sent + call.rules.window - self.s.tick
-            repeats = self.now < ends and effect is Effect.KEYED
-            pool = self._near(call, pool, home) if repeats else NOBODY
+            repeats = effect is Effect.KEYED and self.now < self._repeat_ends(ran, call)
+            pool = self._near(call, pool, self.workers[ran.worker].entry) if repeats else NOBODY
         elif pool:
             count = max(2, CHOICES * len(pool) // self.s.gateways)
             drawn = pool.draw(self.rng, count)
--- a/dockthread/module/estimates.py
+++ b/dockthread/module/estimates.py
@@ -38,10 +38,12 @@
         self.others, self.reports = 0.0, 0
 
     def answered(self, pace: float) -> None:
+        """A worker of the kind answered, in `pace` usual times."""
         self.seen += 1
         self.pace += max(KIND_STEP, 1 / self.seen) * (pace - self.pace)
 
     def reported(self, others: float) -> None:
+        """A worker of the kind told of `others` requests there."""
         self.reports += 1
         self.others += max(KIND_STEP, 1 / self.reports) * (others - self.others)
 
@@ -55,9 +57,11 @@
         self.count, self.part = 0, 1.0
 
     def end(self, part: float) -> None:
+        """One more round; `part` of what was told is left after it."""
         self.count, self.part = self.count + 1, part
 
     def left(self, since: int) -> float:
+        """The part that is left of what was told at the round `since`."""
         return self.part ** (self.count - since)
 
 
@@ -77,10 +81,12 @@
         return self._seen * self._rounds.left(self._at)
 
     def answered(self, pace: float) -> None:
+        """One more answer, in `pace` usual times."""
         self._seen, self._at = min(self.seen + 1, 1 / PACE_STEP), self._rounds.count
         self._mean += (pace - self._mean) / self._seen
 
     def estimate(self, kind: KindStats) -> float:
+        """The worker's pace, leaning on its kind's."""
         seen = self.seen
         return (IMAGINED * kind.pace + seen * self._mean) / (IMAGINED + seen)
 
--- a/dockthread/module/message.py
+++ b/dockthread/module/message.py
@@ -29,12 +29,15 @@
 
 
 class Message(NamedTuple):
+    """One message of a peer, unpacked."""
+
     life: int
     suspects: list[tuple[bytes, float]]
     reports: list[Report]
 
 
 def worker_code(worker: int) -> bytes:
+    """A worker's number as messages have it."""
     return (worker * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFFF).to_bytes(3, "big")
 
 
@@ -59,6 +62,7 @@
 
 
 def pack(life: int, suspects: Sequence[tuple[bytes, float]], reports: Sequence[Report]) -> bytes:
+    """One message as bytes."""
     form = form_of(r.customer for r in reports)
     data = HEAD.pack(VERSION, life, len(suspects), form is WIDE)
     data += b"".join(SUSPECT.pack(code, int(255 * failed)) for code, failed in suspects)
@@ -68,6 +72,7 @@
 
 
 def unpack(data: bytes, plans: int) -> Message | None:
+    """A message from bytes; None where they are none."""
     if len(data) < HEAD.size or data[0] != VERSION:
         return None
     reports = HEAD.size + data[2] * SUSPECT.size
--- a/dockthread/module/quota_store.py
+++ b/dockthread/module/quota_store.py
@@ -30,6 +30,7 @@
         self.lead = 0.0  # units of the others by the counter that their messages have not told
 
     def fill(self, now: float) -> None:
+        """What came in by the rate up to now."""
         level, self.at = self.level + self.rate * (now - self.at), now
         self.level = min(self.burst, level)
         self.over = min(self.burst, self.over + level - self.level)
@@ -68,4 +69,5 @@
         self.level = max(0.0, self.level - (units - covered))
 
     def left(self, now: float) -> float:
+        """The level at a time, nothing taken since."""
         return min(self.burst, self.level + self.rate * (now - self.at))
--- a/dockthread/module/routed.py
+++ b/dockthread/module/routed.py
@@ -35,6 +35,10 @@
         now = self.s.classes[call.ask.request_class].effect
         return max(call.rules.effect, now, key=STRICTNESS.index)
 
+    def _repeat_ends(self, ran: Attempt, call: Call) -> float:
+        """The end of the window in which what may have run may be repeated."""
+        return ran.sent + call.rules.window - self.s.tick
+
     def _subset(self, call: Call, pool: Drawable) -> Drawable:
         """The workers of the route's share; all of them where it has none that is ready."""
         route = call.ask.route
@@ -91,7 +95,7 @@
         """After a send: the attempt's own time-out, the latest for its first byte, and the timer of its copy."""
         ran, begin_by = call.ran(), inf
         if ran is not None and ran is not call.attempts[-1] and self._effect(call) is not api.Effect.SAFE:
-            begin_by = ran.sent + call.rules.window - self.s.tick
+            begin_by = self._repeat_ends(ran, call)
         left, number = max(call.deadline - self.now, 0.0), len(call.attempts) - 1
         if (route := call.ask.route) is None:
             return left, begin_by
--- a/dockthread/module/rules.py
+++ b/dockthread/module/rules.py
@@ -19,6 +19,8 @@
 
 
 class Gateway(Admission):
+    """One gateway's decision module."""
+
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
         self.fade = FADE_HALF * scarcity(settings.gateways)
@@ -35,6 +37,7 @@
         }
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        """Take one event; the actions that follow, in their order. `now`: s on the module's clock."""
         self.now, self.actions = now, []
         if not self.started:
             self.started = True
--- a/dockthread/module/sketch.py
+++ b/dockthread/module/sketch.py
@@ -12,6 +12,8 @@
 
 
 class Sketch:
+    """Rates over `window` seconds."""
+
     def __init__(self, window: float, rng: random.Random) -> None:
         self.window = window
         self.salts = [(rng.randrange(1, PRIME), rng.randrange(PRIME)) for _ in range(ROWS)]
@@ -19,6 +21,7 @@
         self.times = [[NEVER] * CELLS for _ in range(ROWS)]
 
     def add(self, customer: int, units: float, now: float) -> float:
+        """Units of a customer that come now; its rate with them."""
         least = math.inf
         for (a, b), rates, times in zip(self.salts, self.rates, self.times, strict=True):
             cell = (a * customer + b) % PRIME % CELLS
@@ -27,4 +30,5 @@
         return least
 
     def decayed(self, rate: float, units: float, gap: float) -> float:
+        """A rate after a gap, with units that come at its end."""
         return rate * max(0.0, 1 - gap / self.window) + units / max(gap, self.window)
--- a/dockthread/module/state.py
+++ b/dockthread/module/state.py
@@ -25,6 +25,8 @@
 
 @dataclass(slots=True)
 class Attempt:
+    """One attempt of a request. `sent`: s on the module's clock."""
+
     worker: int
     sent: float
     crowd: float = 1.0  # how full its worker was held to be when it was sent
@@ -36,6 +38,8 @@
 
 @dataclass(slots=True)
 class Call:
+    """One request that is not finished."""
+
     ask: api.RequestArrived
     rules: api.RequestClass
     deadline: float
@@ -43,6 +47,7 @@
     timed: bool = False  # its deadline has a timer
 
     def ran(self) -> Attempt | None:
+        """The first attempt that may have run; None where there is none."""
         return next((a for a in self.attempts if a.may_have_run), None)
 
 
@@ -148,6 +153,8 @@
 
 
 class Customer:
+    """What is known of one customer here."""
+
     def __init__(self, number: int, plan: api.Plan, now: float, born: float) -> None:
         self.plan = number
         self.store = QuotaStore(plan.rate, plan.burst, now)  # of its quota, as far as known here
@@ -246,10 +253,12 @@
         self.pool.relist(w, entry, state is api.WorkerState.READY)
 
     def no(self, why: str) -> bool:
+        """Note why a request is not let in; False."""
         self.why = why
         return False
 
     def carry(self, worker: Worker, more: int) -> None:
+        """A worker has as many attempts more out."""
         worker.out, self.out = worker.out + more, self.out + more
 
     def tidy(self) -> None:
@@ -271,6 +280,7 @@
             self.customers, self.unsent = kept, {}
 
     def timer(self, at: float, then: Callable[..., None], *about: int) -> None:
+        """Call `then` at a time."""
         self.token = self.token % 0xFFFFFFFF + 1
         self.timers[self.token] = (then, about)
         self.actions.append(api.SetTimer(at, self.token))
@@ -282,5 +292,6 @@
             self.timer(call.deadline - 2 * self.s.tick, then, request)
 
     def fired(self, event: api.TimerFired) -> None:
+        """A timer's time has come."""
         if timer := self.timers.pop(event.token, None):
             timer[0](*timer[1])
