--- a/dockthread/module/admission.py
+++ b/dockthread/module/admission.py
@@ -15,7 +15,7 @@
 CLEAR, LAG, BACK = 0.5, 0.5, 0.1  # of a burst: left, so that nobody is asked; not lifted yet; lifted twice
 TRIES, MUTE = 3, 0.3  # failed calls that mute the counter; s for which
 METER_FRESH = 2.5  # periods of the meter that its word counts
-CHEAP, DEAR = 0.6, 2.0  # of the bound on the wait: for the cheapest in a jam, for the dearest
+CHEAP, DEAR = 0.6, 2.0  # of the bound on the wait: for the cheapest, for the dearest
 VALUE_STEP = 0.01  # weight of one more request's value in the usual one
 
 
@@ -128,10 +128,9 @@
             return self.no("quota")
         if self._capped(c):
             return self.no("cap")
-        # Answers take long: it would be late, or in the way of dearer ones, as far as they wait at all.
+        # Answers take long: it would be late, or in the way of dearer ones. Against jams of any cause.
         self.value += VALUE_STEP * ((value := rules.worth * plan.price) - self.value)
-        least = 1 - (1 - CHEAP) * self.trend.waiting_part(self.crowds.usual)
-        part = min(DEAR, max(least, value / self.value))
+        part = min(DEAR, max(CHEAP, value / self.value))
         if self._wait() > PRESSED * min(DEAR * rules.aim, part * self.tight):
             return self.no("pressed")
         if plan.ceiling_rate:  # rule 5: an exact store of an even part, empty after a start
--- a/dockthread/module/attempts.py
+++ b/dockthread/module/attempts.py
@@ -8,7 +8,6 @@
 from dockthread.module.api import NEVER_RAN, Effect, Outcome
 from dockthread.module.choice import Choice
 from dockthread.module.estimates import MOST_PACE, Crowds, Reports, scarcity, smoothed
-from dockthread.module.load_trend import LoadTrend
 from dockthread.module.state import Attempt, Call, Worker
 
 FAIL_STEP, SLOW_STEP, SMOOTH = 0.25, 0.12, 0.05  # weights of one more in smoothed figures
@@ -29,7 +28,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         super().__init__(settings, seed, now)
-        self.reports, self.crowds, self.trend = Reports(settings.load_names), Crowds(), LoadTrend()
+        self.reports, self.crowds = Reports(settings.load_names), Crowds()
         self.tight = min(k.aim for k in settings.classes)
         self.blame = 1 - (1 - FAIL_STEP) ** scarcity(settings.gateways)
 
@@ -126,7 +125,6 @@
         if e.outcome is Outcome.OK:
             usual, deviation = self.usual[call.ask.request_class]
             w.took(min(MOST_PACE, e.took / usual / attempt.crowd))
-            self.trend.answered(attempt.crowd, e.took / usual)
             self.usual[call.ask.request_class] = smoothed(usual, deviation, e.took, SMOOTH)
         if self.s.settles_units and e.true_units:
             more_units = e.true_units - call.ask.units
