Play and show seeds by one loop, and tell the age never known by one name

Need: lab fleet and lab distribution each had a loop over seeds, its command and its output, alike but for a type, and NEVER stood in two modules.

--- a/dockthread/cli/lab_distribution.py
+++ b/dockthread/cli/lab_distribution.py
@@ -3,14 +3,12 @@
 
 from __future__ import annotations
 
-import json
-import sys
-
 import click
 
-from dockthread.cli.lab_fleet import BROKE, seeds_of, worded
+from dockthread.cli.lab_seeds import jobs_option, json_option, seeds_option, show_replay, show_seeds
 from dockthread.lab.distribution.planted_bugs import NAMES, PLANTS
-from dockthread.lab.distribution.seeds import SCENARIOS, Found, many, play_seed
+from dockthread.lab.distribution.seeds import SCENARIOS, play_seed
+from dockthread.lab.seeds import play_many
 
 
 @click.group("distribution")
@@ -35,7 +33,6 @@
 plant_option = click.option(
     "--plant", default="", callback=plant_of, metavar="NAME", help="A planted bug to be found, or `list`."
 )
-json_option = click.option("--json", "as_json", is_flag=True, help="One line of JSON.")
 
 
 @distribution.command()
@@ -47,27 +44,13 @@
 
 @distribution.command()
 @scenario_option
-@click.option("--seeds", default="0..99", show_default=True, callback=seeds_of, metavar="A..B")
-@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
+@seeds_option
+@jobs_option
 @plant_option
 @json_option
 def seeds(scenario: str, seeds: range, jobs: int, plant: str, as_json: bool) -> None:
     """Play many seeds; each one that breaks a rule is named. With a planted bug the first that finds it ends it."""
-    played = 0
-    found: list[Found] = []
-    for chunk in many(scenario, seeds, jobs, plant):
-        played += chunk.played
-        found += chunk.found
-        if plant and found:
-            break
-    if as_json:
-        broken = [{"seed": one.seed, **worded(one.broken)} for one in found]
-        click.echo(json.dumps({"scenario": scenario, "plant": plant, "played": played, "broken": broken}))
-    else:
-        for one in found:
-            click.echo(f"seed {one.seed}: {one.broken.rule} at {one.broken.at:.0f} ms: {one.broken.detail}")
-        click.echo(f"{played} seeds of {scenario}, {len(found)} broke a rule")
-    sys.exit(BROKE if found else 0)
+    show_seeds(scenario, play_many(play_seed, scenario, seeds, jobs, plant), plant, as_json)
 
 
 @distribution.command()
@@ -77,10 +60,4 @@
 @json_option
 def replay(seed: int, scenario: str, plant: str, as_json: bool) -> None:
     """One seed's course, line by line; the same each time."""
-    told = play_seed(scenario, seed, plant)
-    if as_json:
-        click.echo(json.dumps({"record": told.record, "broken": [worded(one) for one in told.broken]}))
-    else:
-        lines = [f"BROKEN {one.rule} at {one.at:.0f} ms: {one.detail}" for one in told.broken]
-        click.echo("\n".join([*told.record, *lines]))
-    sys.exit(BROKE if told.broken else 0)
+    show_replay(play_seed(scenario, seed, plant), as_json)
--- a/dockthread/cli/lab_fleet.py
+++ b/dockthread/cli/lab_fleet.py
@@ -8,19 +8,19 @@
 import sys
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from typing import Any
 
 import click
 
+from dockthread.cli.lab_seeds import BROKE, jobs_option, json_option, seeds_option, show_replay, show_seeds
 from dockthread.lab.fleet import turns_planted_bugs
-from dockthread.lab.fleet.checker import Broken
 from dockthread.lab.fleet.planted_bugs import NAMES as AGREEMENT
 from dockthread.lab.fleet.scenario import ScenarioError, parse, shipped
-from dockthread.lab.fleet.seeds import SCENARIOS, many, play_seed
+from dockthread.lab.fleet.seeds import SCENARIOS, play_seed
+from dockthread.lab.seeds import play_many
 
-BROKE, VOID = 1, 2
+VOID = 2  # exit code
+CHUNK = 25  # seeds that a process plays before it tells
 NAMES = (*AGREEMENT, *turns_planted_bugs.NAMES)
-LONGEST = 1_000_000  # seeds in one run
 
 
 @click.group("fleet")
@@ -28,21 +28,6 @@
     """Rehearse many members together, with faults between them."""
 
 
-def worded(broken: Broken) -> dict[str, str | float]:
-    """A broken rule for JSON."""
-    return {"rule": broken.rule, "at": round(broken.at, 3), "detail": broken.detail}
-
-
-def seeds_of(ctx: click.Context, param: click.Parameter, value: str) -> range:
-    first, dots, last = value.partition("..")
-    if not first.isdigit() or (dots and not last.isdigit()):
-        raise click.BadParameter(f"{value!r}: write SEED or FIRST..LAST")
-    found = range(int(first), int(last or first) + 1)
-    if not 0 < len(found) <= LONGEST:
-        raise click.BadParameter(f"{value!r}: from 1 to {LONGEST} seeds, the first before the last")
-    return found
-
-
 @fleet.command()
 def scenarios() -> None:
     """The shipped scenarios, the name first: for `seeds` and `replay`, in simulated time, and for `run`, on
@@ -55,7 +40,6 @@
 
 scenario_argument = click.argument("scenario", type=click.Choice(list(SCENARIOS)))
 plant_option = click.option("--plant", default="", metavar="NAME", help="A planted bug to be found, or `list`.")
-json_option = click.option("--json", "as_json", is_flag=True, help="One line of JSON.")
 
 
 def planted(name: str) -> str:
@@ -70,26 +54,14 @@
 
 @fleet.command()
 @scenario_argument
-@click.option("--seeds", default="0..99", show_default=True, callback=seeds_of, metavar="A..B")
-@click.option("--jobs", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
+@seeds_option
+@jobs_option
 @plant_option
 @json_option
 def seeds(scenario: str, seeds: range, jobs: int, plant: str, as_json: bool) -> None:
-    """Play many seeds; each one that breaks a rule is named."""
-    plant, played = planted(plant), 0
-    broken: list[dict[str, Any]] = []
-    for count, found in many(scenario, seeds, jobs, plant):
-        played += count
-        broken += [{"seed": seed, **worded(one)} for seed, one in found]
-        if plant and broken:
-            break
-    if as_json:
-        click.echo(json.dumps({"scenario": scenario, "plant": plant, "played": played, "broken": broken}))
-    else:
-        for one in broken:
-            click.echo(f"seed {one['seed']}: {one['rule']} at {one['at']:.0f} ms: {one['detail']}")
-        click.echo(f"{played} seeds of {scenario}, {len(broken)} broke a rule")
-    sys.exit(BROKE if broken else 0)
+    """Play many seeds; each one that breaks a rule is named. With a planted bug the first that finds it ends it."""
+    plant = planted(plant)
+    show_seeds(scenario, play_many(play_seed, scenario, seeds, jobs, plant, CHUNK), plant, as_json)
 
 
 @fleet.command()
@@ -139,10 +111,4 @@
 @json_option
 def replay(scenario: str, seed: int, plant: str, as_json: bool) -> None:
     """One seed's course, line by line; the same each time."""
-    broken, record = play_seed(SCENARIOS[scenario], seed, planted(plant))
-    told = [f"{b.rule} at {b.at:.0f} ms: {b.detail}" for b in broken]
-    if as_json:
-        click.echo(json.dumps({"record": record, "broken": told}))
-    else:
-        click.echo("\n".join([*record, *(f"BROKEN {one}" for one in told)]))
-    sys.exit(BROKE if broken else 0)
+    show_replay(play_seed(scenario, seed, planted(plant)), as_json)
--- a/dockthread/distribution/fanout.py
+++ b/dockthread/distribution/fanout.py
@@ -32,6 +32,7 @@
     MOST_NAME,
     MOST_REASON,
     MOST_REJECTIONS,
+    NEVER,
     NO_DIGEST,
     Acknowledge,
     Heartbeat,
@@ -43,7 +44,6 @@
 )
 from dockthread.distribution.resources import ResourceTable
 
-NEVER: Final = -1.0  # age of a table that was never known to hold all
 NEVER_SENT: Final = -1e18
 FULL_RETRY: Final = 500.0  # ms, about: no room for one more subscriber, so it had better go elsewhere
 SNAPSHOT_KEPT: Final = 60_000.0  # ms for which the encoded snapshot is kept after it was last asked for
--- a/dockthread/distribution/messages.py
+++ b/dockthread/distribution/messages.py
@@ -19,6 +19,7 @@
 MOST_REJECTIONS: Final = 64  # in one acknowledgement
 MOST_REASON: Final = 256  # characters of a rejection's reason
 NO_DIGEST: Final = b""
+NEVER: Final = -1.0  # ms: the age of a table that was never known to hold all
 
 
 class Resource(msgspec.Struct, frozen=True, array_like=True):
--- a/dockthread/distribution/subscriber.py
+++ b/dockthread/distribution/subscriber.py
@@ -27,6 +27,7 @@
 from dockthread.distribution.choice import Server, ServerChoice
 from dockthread.distribution.in_force import InForce
 from dockthread.distribution.messages import (
+    NEVER,
     NO_DIGEST,
     Acknowledge,
     Heartbeat,
@@ -49,7 +50,6 @@
     SubscriberTimes,
 )
 
-NEVER: Final = -1.0  # age of a table that was never known to hold all
 MOST_DOUBLINGS: Final = 16
 
 
--- a/dockthread/lab/fleet/seeds.py
+++ b/dockthread/lab/fleet/seeds.py
@@ -1,17 +1,12 @@
-"""Many seeds of one scenario over processes, and one seed told again. Scenarios of the agreement by name."""
+"""Scenarios of the simulated agreement and of turns of work, and one seed of one."""
 
 from __future__ import annotations
 
-import multiprocessing
-from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
-from dockthread.lab.fleet.checker import Broken
 from dockthread.lab.fleet.turns_world import TurnsWorld
 from dockthread.lab.fleet.world import FAULTS, World
-
-CHUNK = 25  # seeds that a process plays before it tells
+from dockthread.lab.seeds import PlayedSeed
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,25 +34,9 @@
 }
 
 
-def play_seed(scenario: Scenario, seed: int, plant: str = "") -> tuple[list[Broken], list[str]]:
-    """One seed: what broke, and its record, the same each time."""
+def play_seed(name: str, seed: int, plant: str = "") -> PlayedSeed:
+    """Play one seed of a scenario."""
+    scenario = SCENARIOS[name]
     world = scenario.world(seed, scenario.size, plant, scenario.faults)
-    return world.play(), [f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record]
-
-
-def _some(name: str, seeds: range, plant: str) -> list[tuple[int, Broken]]:
-    found = ((seed, play_seed(SCENARIOS[name], seed, plant)[0]) for seed in seeds)
-    return [(seed, broken[0]) for seed, broken in found if broken]
-
-
-def many(name: str, seeds: range, jobs: int, plant: str = "") -> Iterator[tuple[int, list[tuple[int, Broken]]]]:
-    """Seeds played so far and what broke in them, chunk by chunk, in the order of the seeds."""
-    chunks = [seeds[i : i + CHUNK] for i in range(0, len(seeds), CHUNK)]
-    if jobs == 1:
-        for chunk in chunks:
-            yield len(chunk), _some(name, chunk, plant)
-        return
-    with ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
-        played = pool.map(_some, [name] * len(chunks), chunks, [plant] * len(chunks))
-        for chunk, broken in zip(chunks, played, strict=True):
-            yield len(chunk), broken
+    broken = world.play()
+    return PlayedSeed(tuple(broken), (f"seed {seed}, faults: {', '.join(world.faults) or 'none'}", *world.record))
--- a/tests/test_distribution_simulated.py
+++ b/tests/test_distribution_simulated.py
@@ -10,14 +10,15 @@
 from dockthread.cli.lab import lab
 from dockthread.lab.distribution.checker import Asked, Checker
 from dockthread.lab.distribution.planted_bugs import PLANTS
-from dockthread.lab.distribution.seeds import many, play_seed
+from dockthread.lab.distribution.seeds import play_seed
+from dockthread.lab.seeds import play_many
 
 SEEDS_OF_A_PLANT = range(0, 4)
 
 
 @pytest.mark.parametrize(("scenario", "seeds"), [("drawn", range(0, 8)), ("single", range(0, 2))])
 def test_no_seed_breaks_a_rule(scenario: str, seeds: range) -> None:
-    chunks = list(many(scenario, seeds, 1))
+    chunks = list(play_many(play_seed, scenario, seeds, 1))
     assert sum(chunk.played for chunk in chunks) == len(seeds)
     assert [found for chunk in chunks for found in chunk.found] == []
 
@@ -27,7 +28,7 @@
     assert any(play_seed(PLANTS[plant].scenario, seed, plant).broken for seed in SEEDS_OF_A_PLANT)
 
 
-def test_a_seed_is_the_same_story_each_time_and_the_command_tells_it() -> None:
+def test_a_seed_gives_the_same_record_each_time_and_the_command_shows_it() -> None:
     told = CliRunner().invoke(lab, ["distribution", "replay", "3", "--json"])
     assert told.exit_code == 0
     assert tuple(json.loads(told.output)["record"]) == play_seed("drawn", 3).record
--- a/tests/test_fleet_agreement.py
+++ b/tests/test_fleet_agreement.py
@@ -24,7 +24,8 @@
     VoteAsk,
 )
 from dockthread.lab.fleet.planted_bugs import NAMES
-from dockthread.lab.fleet.seeds import SCENARIOS, many, play_seed
+from dockthread.lab.fleet.seeds import SCENARIOS, play_seed
+from dockthread.lab.seeds import play_many
 
 THREE = ("a", "b", "c")
 
@@ -130,18 +131,18 @@
 
 @pytest.mark.parametrize("name", list(SCENARIOS))
 def test_no_rule_breaks_in_some_seeds_of_each_scenario(name: str) -> None:
-    for _, broken in many(name, range(20 if "turns" in name else 60), jobs=1):
-        assert not broken
+    for chunk in play_many(play_seed, name, range(20 if "turns" in name else 60), jobs=1):
+        assert not chunk.found
 
 
 @pytest.mark.parametrize("plant", NAMES)
 def test_each_planted_bug_is_found(plant: str) -> None:
     rare = {"vote-not-kept": [("work-agreement-five", 116)], "epoch-unchecked": [("work-agreement", 41)]}
     common = [(name, seed) for seed in range(30) for name in ("work-agreement-five", "work-agreement")]
-    assert any(play_seed(SCENARIOS[name], seed, plant)[0] for name, seed in rare.get(plant, common))
+    assert any(play_seed(name, seed, plant).broken for name, seed in rare.get(plant, common))
 
 
-def test_one_seed_tells_one_story_and_the_commands_say_it() -> None:
+def test_one_seed_gives_the_same_record_each_time_and_the_commands_show_it() -> None:
     run = CliRunner().invoke
     first = run(lab, ["fleet", "replay", "work-agreement", "7"])
     assert first.exit_code == 0
--- a/tests/test_turns_simulated.py
+++ b/tests/test_turns_simulated.py
@@ -6,7 +6,7 @@
 import pytest
 
 from dockthread.fleet import wire
-from dockthread.lab.fleet.seeds import SCENARIOS, play_seed
+from dockthread.lab.fleet.seeds import play_seed
 from dockthread.lab.fleet.turns_planted_bugs import NAMES
 from dockthread.work.part import Acts, Around, Part, Seen, Terms, View, together
 from dockthread.work.words import INGRESS, Command, Tick, Zone
@@ -121,10 +121,9 @@
 @pytest.mark.parametrize("plant", NAMES)
 def test_each_planted_bug_of_the_order_of_work_is_found(plant: str) -> None:
     name, seed = FOUND[plant]
-    broken, _ = play_seed(SCENARIOS[name], seed, plant)
-    assert broken and not play_seed(SCENARIOS[name], seed)[0]
+    assert play_seed(name, seed, plant).broken and not play_seed(name, seed).broken
 
 
-def test_a_seed_of_turns_tells_one_story() -> None:
-    first, again = (play_seed(SCENARIOS["work-turns"], 3) for _ in range(2))
-    assert first == again and any("is pulled" in line for line in first[1])
+def test_a_seed_of_turns_gives_the_same_record_each_time() -> None:
+    first, again = (play_seed("work-turns", 3) for _ in range(2))
+    assert first == again and any("is pulled" in line for line in first.record)
