--- a/dockthread/net/counter.py
+++ b/dockthread/net/counter.py
@@ -22,6 +22,8 @@
 
 
 class Call:
+    """One call that is out or not yet sent. `started`: ms, when it was asked for."""
+
     __slots__ = ("amount", "life", "name", "started", "told")
 
     def __init__(self, name: int, amount: float, life: float, started: float) -> None:
@@ -70,6 +72,7 @@
             self._address, self._line, self._not_before = address, None, 0.0
 
     def call(self, name: int, amount: float, life: float) -> None:
+        """Add to a number; `told` gets the end."""
         now = self._clock.now()
         call = Call(name, amount, life, now)
         line = self._line
@@ -94,6 +97,7 @@
         self._at(now + self._timeout, self._overdue, line, call)
 
     def close(self) -> None:
+        """End all connections; what is out ends as not heard of."""
         for line in list(self._lines):
             self._drop(line)
 
--- a/dockthread/net/destination_set.py
+++ b/dockthread/net/destination_set.py
@@ -37,6 +37,7 @@
     started: float  # seconds on the ingress's clock, 0 for long ago
 
     def entry(self, worker: int) -> api.WorkerEntry:
+        """As the module is told it, under its number there."""
         return api.WorkerEntry(worker, self.state, self.zone, self.kind, self.cell, self.weight, self.started)
 
 
@@ -50,6 +51,8 @@
 
 @dataclass(slots=True)
 class Destination:
+    """One backend that is known, listed or gone."""
+
     worker: int
     uid: str
     address: str  # as discovery writes it, which takes a third of the memory of an address
@@ -61,10 +64,12 @@
 
     @property
     def endpoint(self) -> Address:
+        """Where it takes connections."""
         return Address.parse(self.address)
 
     @property
     def active(self) -> bool:
+        """Whether new requests may be sent there."""
         return self.state is api.WorkerState.READY
 
 
@@ -93,6 +98,7 @@
 
     @property
     def listed(self) -> int:
+        """How many are listed."""
         return len(self.by_worker) - len(self._gone)
 
     @property
@@ -128,6 +134,7 @@
         return next((name for name, number in self._zones.items() if number == known.told.zone), "")
 
     def uid(self, worker: int) -> str:
+        """A backend's id at discovery; `-` for a number that is not known."""
         return self.by_worker[worker].uid if worker in self.by_worker else "-"
 
     def age(self, worker: int) -> int:
@@ -136,6 +143,7 @@
         return round(self._clock.now() - known.started) if known and known.started else -1
 
     def active(self, worker: int) -> bool:
+        """Whether new requests may be sent to a backend."""
         return worker in self.by_worker and self.by_worker[worker].active
 
     def tidy(self) -> None:
--- a/dockthread/net/inbound.py
+++ b/dockthread/net/inbound.py
@@ -60,14 +60,34 @@
     loop_delay: LoopDelay
 
     @property
-    def ready(self) -> bool: ...
+    def ready(self) -> bool:
+        """Whether requests are taken."""
+        ...
+
     @property
-    def draining(self) -> bool: ...
-    def is_open(self, wire_id: bytes) -> bool: ...
-    def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot: ...
-    def answered_at_once(self, ask: resp.Ask, reason: str, answer: bytes) -> Slot: ...
-    def client_gone(self, slot: Slot) -> None: ...
-    def closed(self, connection: Inbound) -> None: ...
+    def draining(self) -> bool:
+        """Whether no new request is taken any more."""
+        ...
+
+    def is_open(self, wire_id: bytes) -> bool:
+        """Whether a request of this id is open."""
+        ...
+
+    def arrived(self, connection: Inbound, ask: resp.Ask) -> Slot:
+        """A whole request was read; where its answer will stand."""
+        ...
+
+    def answered_at_once(self, ask: resp.Ask, reason: str, answer: bytes) -> Slot:
+        """A request that is answered without a decision."""
+        ...
+
+    def client_gone(self, slot: Slot) -> None:
+        """The client of a request has left."""
+        ...
+
+    def closed(self, connection: Inbound) -> None:
+        """The connection is closed."""
+        ...
 
 
 class Inbound:
@@ -107,6 +127,7 @@
 
     @property
     def half(self) -> bool:
+        """Whether a command has begun and is not whole."""
         return not self._bounds.between and not self._last
 
     def has_input(self) -> bool:
@@ -145,6 +166,7 @@
 
     @property
     def ending(self) -> bool:
+        """Whether its sending side is shut, and only the client's end is awaited."""
         return self.close_by is not None
 
     def close(self) -> None:
--- a/dockthread/net/lifecycle.py
+++ b/dockthread/net/lifecycle.py
@@ -9,6 +9,8 @@
 
 
 class Phase(Enum):
+    """Where an ingress stands in its life."""
+
     STARTING = "starting"  # configured, not yet listening
     SERVING = "serving"
     LINGERING = "lingering"  # told to stop: the front still sends, so all is taken and served as before
@@ -26,11 +28,14 @@
 
 
 class Lifecycle:
+    """The phase, and which may follow it. `entered` is told each one."""
+
     def __init__(self) -> None:
         self.phase = Phase.STARTING
         self.entered: Callable[[str], None] = lambda name: None
 
     def enter(self, phase: Phase) -> None:
+        """Go on to a phase. Raises RuntimeError where it may not follow."""
         if phase not in NEXT[self.phase]:
             raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
         logger.bind(phase=phase.value).info("{} -> {}", self.phase.value, phase.value)
@@ -39,8 +44,10 @@
 
     @property
     def ready(self) -> bool:
+        """Whether requests are served."""
         return self.phase in (Phase.SERVING, Phase.LINGERING)
 
     @property
     def draining(self) -> bool:
+        """Whether no new request is taken."""
         return self.phase in (Phase.DRAINING, Phase.STOPPED)
--- a/dockthread/net/listener.py
+++ b/dockthread/net/listener.py
@@ -36,6 +36,7 @@
 
     @staticmethod
     def of(sockets: int) -> Budget:
+        """The budget of an ingress that may hold so many descriptors."""
         surplus = min(SURPLUS, int(sockets * SURPLUS_PART))
         room = sockets - RESERVE - surplus
         clients = int(sockets * CLIENTS_PART)
@@ -46,7 +47,9 @@
 class Outbounds(Protocol):
     """What may close an idle outbound connection to make room; False where there is none."""
 
-    def shed(self) -> bool: ...
+    def shed(self) -> bool:
+        """Close one; whether there was one."""
+        ...
 
 
 class Listener:
@@ -74,6 +77,7 @@
         return where
 
     async def accept(self) -> None:
+        """Take connections for as long as it runs."""
         while True:
             # Past the surplus even a refusal would cost a descriptor that is not there: clients queue.
             while len(self.inbound) >= self.budget.inbound + self.budget.surplus and not self.shed(True):
@@ -91,6 +95,7 @@
                 await asyncio.sleep(0.05)
 
     def empty_backlog(self, most: int = BACKLOG) -> None:
+        """Take what waits to be accepted, `most` at the most."""
         for _ in range(most):
             if len(self.inbound) >= self.budget.inbound + self.budget.surplus:
                 break
@@ -133,10 +138,12 @@
                     connection.end()
 
     def close_all(self) -> None:
+        """Close every connection at once."""
         for connection in list(self.inbound):
             connection.close()
 
     def gone(self, connection: Inbound) -> None:
+        """A connection has closed."""
         self.inbound.discard(connection)
         if not self.inbound:
             self._emptied.set()
--- a/dockthread/net/loop_delay.py
+++ b/dockthread/net/loop_delay.py
@@ -59,6 +59,7 @@
         return loop_delay.since if self.left is None else self.left
 
     def emptied(self) -> None:
+        """A look left nothing to accept."""
         self.left = None
 
     def not_emptied(self, loop_delay: LoopDelay) -> None:
--- a/dockthread/net/outbound.py
+++ b/dockthread/net/outbound.py
@@ -177,6 +177,7 @@
         return True
 
     def close(self) -> None:
+        """Close all connections."""
         for connection in list(self._connections):
             self._drop(connection)
 
--- a/dockthread/net/request.py
+++ b/dockthread/net/request.py
@@ -25,6 +25,7 @@
 
     @property
     def finished(self) -> bool:
+        """Whether it has its answer, or nobody waits for one."""
         return self.gone or self.answer is not None
 
     @property
@@ -40,7 +41,9 @@
     """What a request's route adds for the ingress itself; in milliseconds, 0 for none."""
 
     @property
-    def timeout(self) -> float: ...
+    def timeout(self) -> float:
+        """ms that the whole request may take."""
+        ...
 
 
 class Routes(Protocol):
@@ -48,4 +51,6 @@
 
     spent: dict[str, Any]
 
-    def bounds(self, ask: resp.Ask) -> Bounds | None: ...
+    def bounds(self, ask: resp.Ask) -> Bounds | None:
+        """What the request's route adds; None where it has none."""
+        ...
--- a/dockthread/net/resp.py
+++ b/dockthread/net/resp.py
@@ -51,6 +51,7 @@
 
 
 def reader() -> hiredis.Reader:
+    """A parser that tells what is not whole yet from null."""
     return hiredis.Reader(notEnoughData=INCOMPLETE)
 
 
@@ -141,14 +142,17 @@
 
 
 def command_bounds() -> Bounds:
+    """Of clients' commands."""
     return Bounds(range(1, MOST_PARTS + 1))
 
 
 def reply_bounds() -> Bounds:
+    """Of backends' replies."""
     return Bounds(range(3, 4), null=True, errors=True)
 
 
 def total_bounds() -> Bounds:
+    """Of the counter's replies."""
     return Bounds(range(0), errors=True, bare=True)
 
 
@@ -174,10 +178,12 @@
 
     @property
     def wire_id(self) -> bytes:
+        """The request's id, as the client wrote it."""
         return self.args[2]
 
     @property
     def body_bytes(self) -> int:
+        """Bytes of the body."""
         return sum(map(len, self.args[4:]))
 
     def onward(self, time_left: float) -> bytes:
@@ -189,6 +195,7 @@
 
 
 def command(*args: bytes) -> bytes:
+    """A command as an array of bulk strings."""
     parts = [b"*%d\r\n" % len(args)]
     parts += [b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args]
     return b"".join(parts)
@@ -215,6 +222,7 @@
         self._gateways, self._most_units = gateways, most_units
 
     def ask(self, args: list[bytes]) -> Ask:
+        """A command's request. Raises BadCommand."""
         if len(args) not in (4, 5):
             raise BadCommand("wrong number of arguments")
         if not HEX.fullmatch(args[1]) or not HEX.fullmatch(args[2]):
@@ -261,10 +269,12 @@
 
 
 def error(text: str) -> bytes:
+    """An error line."""
     return b"-ERR %b\r\n" % text.encode()
 
 
 def served(value: bytes) -> bytes:
+    """The answer that hands a value to the client."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
@@ -288,6 +298,7 @@
         self._wire = [name.encode() for name in load_names]
 
     def reply(self, message: Any) -> Reply:
+        """What a whole reply says."""
         if isinstance(message, list) and len(message) == 3 and type(message[0]) is bytes:
             value, use, load = message
             if len(value) <= MOST_VALUE and all(n is None or type(n) is bytes for n in (use, load)):
--- a/dockthread/net/timers.py
+++ b/dockthread/net/timers.py
@@ -14,6 +14,8 @@
 
 
 class Timers:
+    """One heap of timers and one alarm of the loop. Times in ms."""
+
     def __init__(self, clock: Clock, tick: float) -> None:
         self._loop, self._clock, self._tick = asyncio.get_running_loop(), clock, max(1.0, tick)
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -24,6 +26,7 @@
         return len(self._heap)
 
     def at(self, due: float, then: Callable[..., None], *args: Any) -> None:
+        """Call `then` with these arguments when it is `due`."""
         self._count += 1
         heappush(self._heap, (due, self._count, then, args))
         if due < self._armed - self._tick:  # within the same tick or so the alarm serves both
@@ -39,6 +42,7 @@
         self._alarm = self._loop.call_later(wait, self.run)
 
     def run(self) -> None:
+        """Call all that are due."""
         timers, now = self._heap, self._clock.now()
         self._armed = -inf  # nothing that is set meanwhile needs an alarm of its own
         while timers and timers[0][0] <= now:
--- a/dockthread/net/watch.py
+++ b/dockthread/net/watch.py
@@ -107,10 +107,12 @@
         self._entries, self._unread = whole, 0
 
     def on_headers_complete(self) -> None:
+        """From httptools: the head is whole."""
         if (status := self._parser.get_status_code()) != 200:
             self._failure = WatchError(f"discovery answered {status}")
 
     def on_body(self, body: bytes) -> None:
+        """From httptools: a part of the body came."""
         if self._failure is not None:
             return
         self.stood, before = True, len(self._found)
@@ -134,6 +136,7 @@
             self._failure = WatchError("an object does not end")
 
     def on_message_complete(self) -> None:
+        """From httptools: the answer has ended."""
         self.ended = True
 
 
@@ -204,6 +207,7 @@
         await over.wait()
 
     async def run(self) -> None:
+        """Hold a watch, one after another, for as long as it runs."""
         if self._destinations.by_worker and not self._pushed:  # what it knows serves meanwhile
             await self._pause(self._backoff.soon())
         while True:
