--- a/dockthread/distribution/stream.py
+++ b/dockthread/distribution/stream.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from dockthread.distribution.messages import MOST_FRAME, Message, codec
+from dockthread.distribution.messages import Message, codec
 from dockthread.frames import HEAD, MalformedFrame, MessageCounts
 
 
@@ -15,9 +15,8 @@
     What is malformed ends the connection, after `malformed` was told of it; nothing of it is read any more.
     """
 
-    def __init__(self, key: bytes, most: int = MOST_FRAME, counts: MessageCounts | None = None) -> None:
-        self._key, self._most = key, most
-        self._counts = counts if counts is not None else MessageCounts()
+    def __init__(self, key: bytes, most: int, counts: MessageCounts) -> None:
+        self._key, self._most, self._counts = key, most, counts
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
         self.writable = True  # the transport's buffer is low
--- a/dockthread/fleet/link.py
+++ b/dockthread/fleet/link.py
@@ -29,9 +29,8 @@
 class Link:
     """Frames to one other member. `counts`: where they are counted."""
 
-    def __init__(self, to: Address, rng: random.Random, key: bytes, counts: MessageCounts | None = None) -> None:
-        self._to, self._rng, self._key = to, rng, key
-        self._counts = counts if counts is not None else MessageCounts()
+    def __init__(self, to: Address, rng: random.Random, key: bytes, counts: MessageCounts) -> None:
+        self._to, self._rng, self._key, self._counts = to, rng, key, counts
         self._waiting: deque[bytes] = deque(maxlen=MOST_WAITING)
         self._parts: Iterator[bytes] | None = None  # of the state that is under way
         self._state: tuple[int, int] = (0, 0)  # term and last entry of the state that was sent last
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -15,6 +15,7 @@
 from dockthread.fleet.member import Member
 from dockthread.fleet.options import FleetOptions
 from dockthread.fleet.store import Store
+from dockthread.frames import MessageCounts
 from dockthread.lab.fleet.rig import reserved
 from dockthread.settings import Address
 
@@ -74,7 +75,7 @@
                 seen.append(wire.unpack(head, await reader.readexactly(wire.length(head))))
 
         server = await asyncio.start_server(read, "127.0.0.1", 0)
-        link = Link(Address(*server.sockets[0].getsockname()[:2]), random.Random(1), b"")
+        link = Link(Address(*server.sockets[0].getsockname()[:2]), random.Random(1), b"", MessageCounts())
         whole = msgspec.structs.replace(INSTALL, state=STATE[: 40 * wire.PART])
         link.send(whole)
         async with asyncio.timeout(20):
