--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,6 +11,7 @@
 import copy
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -482,11 +483,12 @@
             self._record.add(f"platform sends {number.name} to {name}")
 
     async def close(self) -> None:
-        """End all processes that were started."""
+        """End all processes that were started, and remove the temporary folder."""
         for process in self._processes:
             if process.returncode is None:
                 process.kill()
             await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def wait_until(condition: Callable[[], Awaitable[bool]], seconds: float, what: str) -> None:
@@ -507,6 +509,9 @@
     record = Record(folder / "record.txt")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         platform = Platform(record)
         try:
             async with asyncio.timeout(CASE_TIMEOUT_S):
@@ -516,7 +521,7 @@
 
     try:
         result = asyncio.run(run())
-    except (CaseNotRunError, TimeoutError, OSError) as error:
+    except (CaseNotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record.add(f"the case could not run: {error!r}")
         result = NOT_RUN
     words = {HELD: "the rule held", BROKEN: "the rule is broken", NOT_RUN: "the case did not run"}
