Let a drain last for the deadlines with which its requests came

Callers saw connections closed without an answer 3.0 s after SIGTERM, under requests that had 8 s left, where a SIGHUP had shortened the deadlines since.

Cause: Ingress._drain took the longest deadline from the classes in force when the drain began. A request keeps the deadline with which it arrived.

Change: the request table keeps the latest deadline of all requests it took, and a drain ends no earlier than 0.5 s after it. The deadlines in force bound only the time in which clients read responses, as before.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -6,6 +6,8 @@
 import resource
 from dataclasses import replace
 
+from loguru import logger
+
 from dockthread.admin import reload as settings_reload
 from dockthread.clock import Clock
 from dockthread.config.ingress_config import IngressConfig
@@ -291,16 +293,33 @@
         self.lifecycle.enter(Phase.DRAINING)
         self.peers.close()  # during an upgrade the next process binds this address
         self.listener.end_all()
-        # Every request is answered within the longest deadline. Connections that are still open after
-        # that belong to clients that do not read.
-        longest_deadline_ms = (
-            max(request_class.deadline for request_class in self.config.policy_settings.classes)
-            * 1000.0
-        )
-        close_at_ms = self.clock.now() + longest_deadline_ms + LINGER_MS
-        self.call_at(close_at_ms, self.listener.close_all)
+        self.call_at(self._drain_deadline_ms(), self._end_drain)
         await self.listener.wait_until_all_closed()
 
+    def _drain_deadline_ms(self) -> float:
+        """Return the time by which every request must have been answered and read by its client.
+
+        A request keeps the deadline with which it arrived. The classes may have been changed since
+        then, so their deadlines bound only the time in which clients read responses.
+        """
+        classes = self.config.policy_settings.classes
+        reading_time_ms = max(request_class.deadline for request_class in classes) * 1000.0
+        read_by_ms = self.clock.now() + reading_time_ms
+        return max(read_by_ms, self.requests.latest_deadline_ms) + LINGER_MS
+
+    def _end_drain(self) -> None:
+        """Close the connections of clients that do not read their responses."""
+        connections = self.client_connection_count
+        if not connections:
+            return
+        unanswered = self.requests.unanswered
+        logger.bind(connections=connections, unanswered=unanswered).warning(
+            "closing {} client connections at the end of the drain, {} requests unanswered",
+            connections,
+            unanswered,
+        )
+        self.listener.close_all()
+
     def _close(self) -> None:
         self.listener.socket.close()
         if self._heartbeat_timer is not None:
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -52,6 +52,7 @@
         self.limits = limits
         self.by_number: dict[int, Request] = {}
         self.body_bytes = 0  # total size of the bodies of the requests in `by_number`
+        self.latest_deadline_ms = 0.0  # of all requests accepted so far, also answered ones
         self._last_number = 0
         self._wire_ids_in_flight: set[bytes] = set()
         self._clock = context.clock
@@ -99,6 +100,7 @@
             time_left_ms = min(time_left_ms, route.timeout)
         request = Request(self._last_number, connection, command, now + time_left_ms, time_left_ms)
         self.by_number[request.number] = request
+        self.latest_deadline_ms = max(self.latest_deadline_ms, request.deadline_ms)
         self._wire_ids_in_flight.add(command.wire_id)
         self.body_bytes = body_bytes
         if time_left_ms <= DEADLINE_TIMER_LEAD_MS:
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from typing import Any
 
+from dockthread.clock import ManualClock
+from dockthread.config.platform_settings import parse_policy_settings
 from dockthread.net.backend_connection import Attempt
 from dockthread.net.ingress import Ingress
+from dockthread.net.lifecycle import Phase
 from dockthread.policy import Outcome
-from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, SETTINGS
+from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, SETTINGS, until
 from tests.loopback import command as encode_command
 
 # A deadline in ms that no test reaches, so that it cannot interfere with the rule under test.
@@ -93,3 +98,25 @@
 def reset_on_close(sock: socket.socket) -> None:
     """Make the system reset the connection when the socket is closed."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+def reload_settings(ingress: Ingress, settings: dict[str, Any]) -> None:
+    """Apply settings in the platform's JSON form, as after a SIGHUP."""
+    class_names = tuple(request_class["Name"] for request_class in settings["Classes"])
+    ingress.reload(
+        replace(
+            ingress.config,
+            policy_settings=parse_policy_settings(json.dumps(settings).encode()),
+            names=replace(ingress.config.names, classes=class_names),
+        )
+    )
+
+
+async def stop_until(ingress: Ingress, clock: ManualClock, phase: Phase) -> None:
+    """Begin the graceful shutdown, and advance the clock until the ingress enters `phase`."""
+    ingress.stop()
+    await until(lambda: ingress.lifecycle.phase is Phase.LINGERING)
+    while ingress.lifecycle.phase is not phase:
+        clock.advance(10)
+        ingress.timers.run_due()
+        await asyncio.sleep(0.001)
