Reject a file that is short of any key that the platform's page requires

Cause: the reader of the platform's JSON had defaults for most keys, each the loosest value of its rule; for `Group` the widest scope. The file counted as applied (app_config_applied 1, app_config_rejected 0).

Change: config/required_keys.py lists the keys of the pages; a file without one is rejected as a whole, at the start, at SIGHUP, by `dockthread check` and by the simulator's adapter. Only what the pages let be absent may be: AimStretch, Group and Window of a class that is not keyed, costs, counter, management and the peers' addresses. Files nested too deeply or with infinite numbers are rejected too; before, they ended the reload without a count. Settings of tests, laboratory, benchmarks and examples now have all keys; no assertion changed but that for limits.sockets, which now also names the value.

--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -28,6 +28,7 @@
     ("dockthread/net/", ("sockets", "days", "fleet")),
     ("dockthread/admin/", ("sockets", "days", "fleet")),
     ("dockthread/config/platform_settings.py", ("module", "sockets", "days", "fleet")),
+    ("dockthread/config/required_keys.py", ("module", "sockets", "days", "fleet")),
     ("dockthread/section_registry.py", ("module", "sockets", "days", "fleet")),
     ("dockthread/config/", ("sockets", "days", "fleet")),
     ("dockthread/logs/", ("sockets", "days", "fleet")),
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -23,27 +23,30 @@
 import hiredis
 import uvloop
 
+from dockthread.lab.site_settings import site_settings
+
 ROOT = Path(__file__).parent.parent
 SERVED_ANSWER = b"*3\r\n$5\r\nvalue\r\n$7\r\nused=37\r\n$24\r\ninflight=7,qps=2,queue=1\r\n"
 
-SETTINGS: dict[str, Any] = {
-    "MyNumber": 0,
-    "ReplicasOfMe": 1,
-    "Classes": [
-        {"Name": "seat-status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure", "Points": 1.0},
-        {"Name": "seat-checkout", "Aim": 3_000_000, "HardLimit": 12_000_000, "Effect": "side_effect", "Points": 2.0},
+SETTINGS: dict[str, Any] = site_settings(
+    classes=[
+        {"Name": "seat-status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure"},
+        {
+            "Name": "seat-checkout",
+            "Aim": 3_000_000,
+            "HardLimit": 12_000_000,
+            "Effect": "side_effect",
+            "Points": 2.0,
+        },
     ],
-    "Packages": [
-        {"Name": name, "Refill": 1e6, "PeakUnits": 1e6, "WorthFactor": 1.0} for name in ("klein", "mittel", "gross")
+    plans=[
+        {"Name": name, "Refill": 1e6, "PeakUnits": 1e6} for name in ("klein", "mittel", "gross")
     ],
-    "Azs": ["hall-a"],
-    "Models": ["type-a"],
-    "Period": 4000,
-    "Domain": {"Largest": 4},
-    "Limits": {"SendCap": 4, "Cancelling": True, "SecondCopies": True, "MaxRetryAfter": 500_000,
-               "ConnectTimeout": 250_000, "ConnIdle": 15_000_000},
-    "Stats": {"Names": ["rif", "rate", "q"], "Source": "inline"},
-}  # fmt: skip
+    Azs=["hall-a"],
+    Domain={"Largest": 4},
+    Limits={"SendCap": 4, "Cancelling": True, "SecondCopies": True, "MaxRetryAfter": 500_000},
+    Stats={"Names": ["rif", "rate", "q"], "Source": "inline"},
+)
 
 
 class Node(asyncio.Protocol):
@@ -160,7 +163,7 @@
     ]
     config = {
         "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{ports['discovery']}", "seed": "1",
-        "limits": {"sockets": 1024, "memory_mb": 192.0}, "known": {"rev": 1, "all": True, "targets": targets},
+        "limits": {"cores": 1.0, "memory_mb": 192.0, "sockets": 1024}, "known": {"rev": 1, "all": True, "targets": targets},
         "settings": settings or SETTINGS,
     }  # fmt: skip
     config_path = folder / "config.json"
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -15,22 +15,13 @@
 from typing import Any
 
 from dockthread.lab.maintenance.process_cluster import ProcessCluster
+from dockthread.lab.site_settings import site_settings
 
-SETTINGS: dict[str, Any] = {
-    "Classes": [
-        {
-            "Name": "status",
-            "Aim": 1_500_000,
-            "HardLimit": 4_000_000,
-            "Effect": "pure",
-            "Points": 1.0,
-        }
-    ],
-    "Packages": [{"Name": "gross", "Refill": 1000.0, "PeakUnits": 1000.0}],
-    "Azs": ["hall-a"],
-    "Models": ["type-a"],
-    "Period": 4000,
-}
+SETTINGS: dict[str, Any] = site_settings(
+    classes=[{"Name": "status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure"}],
+    plans=[{"Name": "gross", "Refill": 1000.0, "PeakUnits": 1000.0}],
+    Azs=["hall-a"],
+)
 WAIT_TIMEOUT_S = 30.0  # Timeout in s of each wait.
 
 
--- a/dockthread/config/platform_settings.py
+++ b/dockthread/config/platform_settings.py
@@ -13,6 +13,7 @@
 
 from dockthread.config.address import Address
 from dockthread.config.ingress_config import IngressConfig, Names, PeerAddresses
+from dockthread.config.required_keys import check_configuration_keys, check_settings_keys
 from dockthread.errors import SettingsError
 from dockthread.policy import (
     CostWeights,
@@ -58,7 +59,7 @@
         raise SettingsError(
             "is missing", file=path, key=str(key), text=f"{path}: {key!r} is missing"
         ) from error
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
         raise SettingsError(str(error), file=path) from error
 
 
@@ -82,13 +83,13 @@
     Raises:
         SettingsError: The file cannot be read or contains no valid settings.
     """
+    raw = _read_json(path)
     try:
-        raw = json.loads(Path(path).read_bytes())
         settings = raw.get("settings", raw)
         return _policy_settings(settings), _names(settings)
-    except OSError as error:
-        raise _unreadable(path, error) from error
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except SettingsError as error:
+        raise error.in_file(path) from error
+    except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError) as error:
         raise SettingsError(f"cannot be read: {error!r}", file=path, key="settings") from error
 
 
@@ -100,7 +101,7 @@
     """
     try:
         return _policy_settings(json.loads(text))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError) as error:
         raise SettingsError(f"cannot be read: {error!r}", key="settings") from error
 
 
@@ -109,7 +110,7 @@
         return json.loads(Path(path).read_bytes())
     except OSError as error:
         raise _unreadable(path, error) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         reason = f"is not JSON: {error}"
         raise SettingsError(reason, file=path, text=f"{path} {reason}") from error
 
@@ -121,36 +122,35 @@
 
 
 def _ingress_config(raw: JsonObject, environ: Mapping[str, str]) -> IngressConfig:
+    check_configuration_keys(raw)
     settings = raw["settings"]
-    if not isinstance(settings, dict):
-        raise SettingsError("is not an object", key="settings")
-    limits = settings.get("Limits", {})
-    domain = settings.get("Domain", {})
-    process_limits = raw.get("limits", {})
+    limits = settings["Limits"]
+    domain = settings["Domain"]
+    process_limits = raw["limits"]
     return IngressConfig(
         max_sockets=_max_sockets(process_limits),
         name=environ.get("NODE_NAME") or raw["name"],
         listen=Address.parse(environ.get("NODE_LISTEN") or raw["listen"]),
         discovery=Address.parse(environ.get("NODE_DISCOVERY") or raw["discovery"]),
-        seed=int(str(raw.get("seed", "0")), 16),
-        known_endpoints=raw.get("known") or {"rev": 0, "all": True, "targets": []},
+        seed=int(str(raw["seed"]), 16),
+        known_endpoints=raw["known"],
         policy_settings=_policy_settings(settings),
         names=_names(settings),
-        memory_mb=float(process_limits.get("memory_mb", 192.0)),
-        max_request_units=int(domain.get("Largest", 1_000_000)),
+        memory_mb=float(process_limits["memory_mb"]),
+        max_request_units=int(domain["Largest"]),
         counter=_optional_address(raw.get("counter")),
         peers=_peer_addresses(raw, settings["ReplicasOfMe"]),
-        counter_timeout_ms=domain.get("CounterTimeout", SECOND / 20) / MILLISECOND,
-        connection_idle_ms=limits.get("ConnIdle", 15 * SECOND) / MILLISECOND,
-        connect_timeout_ms=limits.get("ConnectTimeout", SECOND / 4) / MILLISECOND,
-        max_open_requests=limits.get("MaxOpen", 20_000),
+        counter_timeout_ms=domain["CounterTimeout"] / MILLISECOND,
+        connection_idle_ms=limits["ConnIdle"] / MILLISECOND,
+        connect_timeout_ms=limits["ConnectTimeout"] / MILLISECOND,
+        max_open_requests=limits["MaxOpen"],
         inherited_listener_fd=_optional_int(environ.get("NODE_INHERITED_FD")),
         management=_optional_address(environ.get("NODE_MANAGEMENT") or raw.get("management")),
     )
 
 
 def _max_sockets(process_limits: JsonObject) -> int:
-    sockets: int = process_limits.get("sockets", 1024)
+    sockets: int = process_limits["sockets"]
     if sockets < MIN_SOCKETS:
         reason = f"is {sockets}, but an ingress needs at least {MIN_SOCKETS}"
         raise SettingsError(reason, key="limits.sockets")
@@ -180,41 +180,42 @@
 def _names(settings: JsonObject) -> Names:
     return Names(
         classes=tuple(each["Name"] for each in settings["Classes"]),
-        plans=tuple(each["Name"] for each in settings.get("Packages", [])),
-        zones=tuple(settings.get("Azs", ())),
-        kinds=tuple(settings.get("Models", ())),
+        plans=tuple(each["Name"] for each in settings["Packages"]),
+        zones=tuple(settings["Azs"]),
+        kinds=tuple(settings["Models"]),
     )
 
 
 def _policy_settings(raw: JsonObject) -> PolicySettings:
-    limits = raw.get("Limits", {})
-    domain = raw.get("Domain", {})
-    load_reports = raw.get("Stats", {})
+    check_settings_keys(raw)
+    limits = raw["Limits"]
+    domain = raw["Domain"]
+    load_reports = raw["Stats"]
     _check_ranges(raw["Classes"], limits)
     return PolicySettings(
         classes=tuple(map(_request_class, raw["Classes"])),
-        plans=tuple(map(_plan, raw.get("Packages", []))),
+        plans=tuple(map(_plan, raw["Packages"])),
         ingress_number=raw["MyNumber"],
         ingress_count=raw["ReplicasOfMe"],
-        zone=raw.get("Zone", 0),
-        clock_tick=_seconds(raw.get("Period", 1000)),
-        safety=_safety_limits(raw.get("Safety", {})),
-        costs=_cost_weights(raw.get("Costs", {})),
-        max_attempts=limits.get("SendCap", 1),
-        may_hedge=limits.get("SecondCopies", False),
-        may_cancel=limits.get("Cancelling", False),
-        may_check_health=limits.get("Probes", False),
-        may_gossip=limits.get("Peers", False),
-        max_retry_after=_seconds(limits.get("MaxRetryAfter", 0)),
-        gossip_intake_rate=domain.get("PeerInPerS", 0.0),
-        max_request_units=domain.get("Largest", 1),
-        charges_actual_units=domain.get("TruedUp", False),
-        usage_report_period=_seconds(domain.get("Metering", 0)),
-        may_use_counter=domain.get("MayCount", False),
-        connection_idle_time=_seconds(limits.get("ConnIdle", 15 * SECOND)),
-        load_report_fields=tuple(load_reports.get("Names", ())),
-        has_load_reports=load_reports.get("Source") == "inline",
-        must_poll_endpoints=raw.get("Discovery") == "subscribe",
+        zone=raw["Zone"],
+        clock_tick=_seconds(raw["Period"]),
+        safety=_safety_limits(raw["Safety"]),
+        costs=_cost_weights(raw["Costs"]),
+        max_attempts=limits["SendCap"],
+        may_hedge=limits["SecondCopies"],
+        may_cancel=limits["Cancelling"],
+        may_check_health=limits["Probes"],
+        may_gossip=limits["Peers"],
+        max_retry_after=_seconds(limits["MaxRetryAfter"]),
+        gossip_intake_rate=domain["PeerInPerS"],
+        max_request_units=domain["Largest"],
+        charges_actual_units=domain["TruedUp"],
+        usage_report_period=_seconds(domain["Metering"]),
+        may_use_counter=domain["MayCount"],
+        connection_idle_time=_seconds(limits["ConnIdle"]),
+        load_report_fields=tuple(load_reports["Names"]),
+        has_load_reports=load_reports["Source"] == "inline",
+        must_poll_endpoints=raw["Discovery"] == "subscribe",
     )
 
 
@@ -228,7 +229,7 @@
                     key=f"settings.Classes[{number}].{key}",
                     remedy="must be a time above 0",
                 )
-    if not limits.get("SendCap", 1) > 0:
+    if not limits["SendCap"] > 0:
         raise SettingsError(
             f"is {limits['SendCap']!r}",
             key="settings.Limits.SendCap",
@@ -244,38 +245,39 @@
     return RequestClass(
         latency_objective=_seconds(raw["Aim"]),
         deadline=_seconds(raw["HardLimit"]),
-        priority_weight=raw.get("Points", 1.0),
-        late_weight=raw.get("LateShare", 0.0),
+        priority_weight=raw["Points"],
+        late_weight=raw["LateShare"],
         effect=EFFECTS[raw["Effect"]],
+        # Only a keyed class needs these two keys; the other effects do not use them.
         deduplication_scope=DeduplicationScope(raw.get("Group", "all")),
         deduplication_window=_seconds(raw.get("Window", 0)),
-        is_stream=raw.get("Stream", False),
+        is_stream=raw["Stream"],
     )
 
 
 def _plan(raw: JsonObject) -> Plan:
     return Plan(
-        rate=raw.get("Refill", 0.0),
-        burst=raw.get("PeakUnits", 0.0),
-        max_in_flight=raw.get("MaxOut", 0),
-        priority_multiplier=raw.get("WorthFactor", 1.0),
-        over_quota_weight=raw.get("OverWorth", 0.0),
-        over_quota_cost=raw.get("ExcessCost", 0.0),
-        ceiling_rate=raw.get("CeilingRate", 0.0),
-        ceiling_burst=raw.get("CapDepth", 0.0),
-        ceiling_slack=raw.get("Tolerance", 0.0),
+        rate=raw["Refill"],
+        burst=raw["PeakUnits"],
+        max_in_flight=raw["MaxOut"],
+        priority_multiplier=raw["WorthFactor"],
+        over_quota_weight=raw["OverWorth"],
+        over_quota_cost=raw["ExcessCost"],
+        ceiling_rate=raw["CeilingRate"],
+        ceiling_burst=raw["CapDepth"],
+        ceiling_slack=raw["Tolerance"],
     )
 
 
 def _safety_limits(raw: JsonObject) -> SafetyLimits:
     return SafetyLimits(
-        answer_slack=_seconds(raw.get("AnswerSlack", 0)),
-        drain_grace=_seconds(raw.get("StopSendingWithin", 0)),
-        cold_capacity=raw.get("ColdShare", 1.0),
-        warm_up_time=_seconds(raw.get("Cold", 0)),
-        overload_multiple=raw.get("FallMultiple", 1.0),
-        overload_time=_seconds(raw.get("TipAfter", SECOND)),
-        poll_interval=_seconds(raw.get("AskWithin", 10 * SECOND)),
+        answer_slack=_seconds(raw["AnswerSlack"]),
+        drain_grace=_seconds(raw["StopSendingWithin"]),
+        cold_capacity=raw["ColdShare"],
+        warm_up_time=_seconds(raw["Cold"]),
+        overload_multiple=raw["FallMultiple"],
+        overload_time=_seconds(raw["TipAfter"]),
+        poll_interval=_seconds(raw["AskWithin"]),
     )
 
 
--- a/dockthread/lab/maintenance/process_cluster.py
+++ b/dockthread/lab/maintenance/process_cluster.py
@@ -28,6 +28,7 @@
 OK = 200
 CALL_TIMEOUT_S = 6.0
 STATUS_TIMEOUT_S = 0.5  # Timeout of read-only calls.
+MEMORY_MB = 192  # Memory limit of each process that its configuration states.
 MAX_SOCKETS = 512  # Maximum number of sockets of each process.
 
 
@@ -166,7 +167,7 @@
             "discovery": f"{HOST}:9",
             "management": str(self.admin_addresses[name]),
             "seed": f"{number + 1:x}",
-            "limits": {"sockets": MAX_SOCKETS},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": MAX_SOCKETS},
             "known": {"rev": 1, "all": True, "targets": self._targets},
             "settings": {
                 **self._settings,
--- a/dockthread/lab/maintenance/rehearsal.py
+++ b/dockthread/lab/maintenance/rehearsal.py
@@ -35,22 +35,13 @@
 from dockthread.lab.maintenance.scenario import PlannedScenario, Step, StepVerb
 from dockthread.lab.maintenance.stand_in import StandInBackend
 from dockthread.lab.raft.checker import RuleViolation
+from dockthread.lab.site_settings import site_settings
 from dockthread.maintenance.transitions import FINAL_STATES, UNAVAILABLE_STATES
 
-SETTINGS: Mapping[str, Any] = {
-    "Classes": [
-        {
-            "Name": "status",
-            "Aim": 1_500_000,
-            "HardLimit": 4_000_000,
-            "Effect": "pure",
-            "Points": 1.0,
-        }
-    ],
-    "Packages": [{"Name": "gross", "Refill": 100_000.0, "PeakUnits": 100_000.0}],
-    "Models": ["type-a"],
-    "Period": 4000,
-}
+SETTINGS: Mapping[str, Any] = site_settings(
+    classes=[{"Name": "status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure"}],
+    plans=[{"Name": "gross", "Refill": 100_000.0, "PeakUnits": 100_000.0}],
+)
 TIMEOUTS_INI = "dead = 1500ms\nlapse = 15s\n"  # Additional lines of the section `[fleet]`.
 MS_PER_S = 1000.0
 ELECTION_TIMEOUT_S = 30.0  # Maximum time until every member knows a leader.
--- a/dockthread/lab/scale/plan.py
+++ b/dockthread/lab/scale/plan.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from dockthread.errors import DockthreadError
+from dockthread.lab.site_settings import site_settings
 
 FAULTS: Final = ("none", "restart-wave", "zone", "cut")
 ZONES: Final = 14
@@ -146,37 +147,23 @@
 
 def platform_settings(ingresses: int) -> dict[str, Any]:
     """Return the platform's settings for every ingress of a run."""
-    return {
-        "MyNumber": 0,
-        "ReplicasOfMe": ingresses,
-        "Classes": [
-            {
-                "Name": "seat-status",
-                "Aim": 1_500_000,
-                "HardLimit": 4_000_000,
-                "Effect": "pure",
-                "Points": 1.0,
-            },
-            {
-                "Name": "seat-checkout",
-                "Aim": 3_000_000,
-                "HardLimit": 12_000_000,
-                "Effect": "side_effect",
-            },
-        ],
-        "Packages": [
-            {"Name": name, "Refill": 1e6, "PeakUnits": 1e6} for name in ("klein", "mittel", "gross")
-        ],
-        "Azs": [zone_name(number) for number in range(ZONES)],
-        "Models": ["type-a"],
-        "Period": 4000,
-        "Domain": {"Largest": 4},
-        "Safety": {"StopSendingWithin": 1_000_000},
-        "Limits": {
-            "SendCap": 4,
-            "MaxRetryAfter": 500_000,
-            "ConnectTimeout": 250_000,
-            "ConnIdle": 15_000_000,
-        },
-        "Stats": {"Names": ["rif", "rate", "q"], "Source": "inline"},
+    status = {"Name": "seat-status", "Aim": 1_500_000, "HardLimit": 4_000_000, "Effect": "pure"}
+    checkout = {
+        "Name": "seat-checkout",
+        "Aim": 3_000_000,
+        "HardLimit": 12_000_000,
+        "Effect": "side_effect",
     }
+    plans = [
+        {"Name": name, "Refill": 1e6, "PeakUnits": 1e6} for name in ("klein", "mittel", "gross")
+    ]
+    return site_settings(
+        [status, checkout],
+        plans,
+        ReplicasOfMe=ingresses,
+        Azs=[zone_name(number) for number in range(ZONES)],
+        Domain={"Largest": 4},
+        Safety={"StopSendingWithin": 1_000_000},
+        Limits={"SendCap": 4, "MaxRetryAfter": 500_000},
+        Stats={"Names": ["rif", "rate", "q"], "Source": "inline"},
+    )
--- a/dockthread/lab/scale/run.py
+++ b/dockthread/lab/scale/run.py
@@ -183,7 +183,8 @@
             "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{self._discovery_ports[self.plan.is_affected_by_cut(number)]}",
             "seed": f"{number + 1:x}",
-            "limits": {"sockets": 4096},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+            "known": {"rev": 0, "all": True, "targets": []},
             "settings": policy_settings,
         }
         config_path.write_text(json.dumps(config_values))
--- a/tests/admin/test_reload.py
+++ b/tests/admin/test_reload.py
@@ -12,7 +12,7 @@
 from dockthread.config.ingress_config import Names
 from dockthread.config.platform_settings import parse_policy_settings
 from dockthread.policy import Effect, PolicySettings, RequestClass
-from tests.loopback import SETTINGS, Backend, run, running_ingress
+from tests.loopback import CHECKOUT_CLASS, SETTINGS, Backend, run, running_ingress
 
 STATUS = RequestClass(latency_objective=1.5, deadline=4.0, effect=Effect.SAFE)
 CHECKOUT = RequestClass(latency_objective=3.0, deadline=12.0, effect=Effect.UNSAFE)
@@ -57,12 +57,7 @@
 def test_after_a_reload_a_new_class_is_served_and_a_removed_one_is_rejected() -> None:
     async def scenario() -> None:
         async with running_ingress(Backend()) as (ingress, client, _):
-            renew = {
-                "Name": "renew",
-                "Aim": 1_000_000,
-                "HardLimit": 2_000_000,
-                "Effect": "side_effect",
-            }
+            renew = CHECKOUT_CLASS | {"Name": "renew", "Aim": 1_000_000, "HardLimit": 2_000_000}
             raw: dict[str, Any] = SETTINGS | {"Classes": [renew, SETTINGS["Classes"][1]]}
             assert "unknown class" in str(await client.call("renew"))
             reloaded_names = replace(ingress.config.names, classes=("renew", "checkout"))
--- a/tests/config/test_ingress_config.py
+++ b/tests/config/test_ingress_config.py
@@ -11,14 +11,14 @@
 from dockthread.config.address import Address
 from dockthread.config.platform_settings import read_config
 from dockthread.errors import SettingsError
-from tests.loopback import SETTINGS, message, raw_config
+from tests.loopback import PROCESS_LIMITS, SETTINGS, message, raw_config
 
 
 @pytest.mark.parametrize(
     ("changes", "expected_text"),
     [
         ({"settings": None}, "not an object"), ({"listen": "nowhere"}, "not an address"),
-        ({"limits": {"sockets": 8}}, "limits.sockets"), ({"seed": "xyz"}, "base 16"),
+        ({"limits": PROCESS_LIMITS | {"sockets": 8}}, "limits.sockets is 8"), ({"seed": "xyz"}, "base 16"),
         ({"settings": SETTINGS | {"Classes": [{"Name": "a"}]}}, "Aim"),
         ({"listen": "127.0.0.1:70000"}, "not an address"),
         ({"settings": SETTINGS | {"Classes": [SETTINGS["Classes"][0] | {"HardLimit": 0}]}}, r"\[0\].HardLimit"),
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -18,34 +18,87 @@
 from dockthread.config.platform_settings import read_config
 from dockthread.net.ingress import Ingress
 
+STATUS_CLASS: dict[str, Any] = {
+    "Name": "status",
+    "Aim": 1_500_000,
+    "HardLimit": 4_000_000,
+    "Effect": "pure",
+    "LateShare": 0.0,
+    "Points": 1.0,
+    "Stream": False,
+}
+CHECKOUT_CLASS: dict[str, Any] = STATUS_CLASS | {
+    "Name": "checkout",
+    "Aim": 3_000_000,
+    "HardLimit": 12_000_000,
+    "Effect": "side_effect",
+}
+GROSS_PLAN: dict[str, Any] = {
+    "CapDepth": 0.0,
+    "CeilingRate": 0.0,
+    "ExcessCost": 0.0,
+    "MaxOut": 0,
+    "Name": "gross",
+    "OverWorth": 0.0,
+    "PeakUnits": 1000.0,
+    "Refill": 1000.0,
+    "Tolerance": 0.0,
+    "WorthFactor": 1.0,
+}
+# Policy settings with all keys that the platform's page on the wire requires.
 SETTINGS: dict[str, Any] = {
-    "MyNumber": 0,
-    "ReplicasOfMe": 4,
-    "Classes": [
-        {
-            "Name": "status",
-            "Aim": 1_500_000,
-            "HardLimit": 4_000_000,
-            "Effect": "pure",
-            "Points": 1.0,
-        },
-        {"Name": "checkout", "Aim": 3_000_000, "HardLimit": 12_000_000, "Effect": "side_effect"},
-    ],
-    "Packages": [{"Name": "gross", "Refill": 1000.0, "PeakUnits": 1000.0}],
     "Azs": ["hall-a", "hall-b"],
-    "Models": ["type-a"],
-    "Period": 4000,
-    "Domain": {"Largest": 4},
+    "Classes": [STATUS_CLASS, CHECKOUT_CLASS],
+    "ClientHabits": {"MarksRetry": False},
+    "Costs": {},
+    "Discovery": "automatic",
+    "Domain": {
+        "CounterPrice": 0.0,
+        "CounterTimeout": 50_000,
+        "Largest": 4,
+        "MayCount": False,
+        "Metering": 0,
+        "PeerInPerS": 0.0,
+        "TruedUp": False,
+    },
+    "Family": "gate",
+    "Goal": {"Whole": 1.0, "WorstClass": 0.0, "WorstTenant": 0.0, "WorstWindow": 0.0},
     "Limits": {
-        "SendCap": 4,
         "Cancelling": True,
-        "SecondCopies": True,
-        "MaxRetryAfter": 500_000,
-        "ConnectTimeout": 250_000,
         "ConnIdle": 15_000_000,
+        "ConnectTimeout": 250_000,
+        "CpuUsPerRequest": 0.0,
+        "CpuUsPerS": 0,
+        "MaxOpen": 20_000,
+        "MaxRetryAfter": 500_000,
+        "Multiplex": 100,
+        "Peers": False,
+        "Probes": False,
+        "RetryAfter": False,
+        "SecondCopies": True,
+        "SendCap": 4,
+    },
+    "Models": ["type-a"],
+    "MyNumber": 0,
+    "Packages": [GROSS_PLAN],
+    "Period": 4000,
+    "ReplicasOfMe": 4,
+    "Safety": {
+        "AnswerSlack": 0,
+        "AskWithin": 10_000_000,
+        "Cold": 0,
+        "ColdShare": 1.0,
+        "FallMultiple": 1.0,
+        "StopSendingWithin": 0,
+        "TipAfter": 1_000_000,
     },
+    "Stage": 0,
     "Stats": {"Names": ["rif", "rate", "q"], "Source": "inline"},
+    "Tiers": ["backends"],
+    "WeightKind": "off",
+    "Zone": 0,
 }
+PROCESS_LIMITS: dict[str, Any] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
 CUSTOMER_KEY = b"00000000b4d65521"  # The customer of a client's requests, as clients encode it.
 FIRST_REQUEST_ID = 0x9B1F03AA5C7E2D41  # The id of a client's first request; ids increase by one.
 SCENARIO_TIMEOUT_S = 30
@@ -94,7 +147,7 @@
         "discovery": f"127.0.0.1:{discovery}",
         "seed": "8c1f",
     }
-    return {**raw, "limits": {"sockets": 1024}, "known": known, "settings": SETTINGS, **changes}
+    return {**raw, "limits": PROCESS_LIMITS, "known": known, "settings": SETTINGS, **changes}
 
 
 def config(known: dict[str, Any], discovery: int = 9, **changes: Any) -> IngressConfig:
--- a/tests/net/test_client_connections.py
+++ b/tests/net/test_client_connections.py
@@ -13,7 +13,6 @@
 from dockthread.net.client_connection import ClientConnection
 from tests.loopback import (
     FIRST_REQUEST_ID,
-    SETTINGS,
     Backend,
     Client,
     reply_served,
@@ -21,7 +20,7 @@
     running_ingress,
     until,
 )
-from tests.net.support import UNREACHED_DEADLINE_MS, never_replies
+from tests.net.support import UNREACHED_DEADLINE_MS, never_replies, with_limits
 
 
 def test_each_command_gets_one_response_in_the_order_of_the_commands() -> None:
@@ -140,7 +139,7 @@
 
 def test_a_request_beyond_the_in_flight_limit_is_rejected_as_busy() -> None:
     async def scenario() -> None:
-        async with running_ingress(Backend(), settings=SETTINGS | {"Limits": {"MaxOpen": 0}}) as (
+        async with running_ingress(Backend(), settings=with_limits(MaxOpen=0, MaxRetryAfter=0)) as (
             _,
             client,
             _,
--- a/tests/net/test_descriptor_budget.py
+++ b/tests/net/test_descriptor_budget.py
@@ -7,7 +7,7 @@
 
 from dockthread.clock import ManualClock
 from dockthread.policy import Outcome
-from tests.loopback import Backend, Client, run, running_ingress, until
+from tests.loopback import PROCESS_LIMITS, Backend, Client, run, running_ingress, until
 from tests.net.support import UNREACHED_DEADLINE_MS, collect_outcomes, never_replies, new_attempt
 
 
@@ -15,7 +15,7 @@
     async def scenario() -> None:
         hanging_backend, idle_backend, clock = Backend(never_replies), Backend(), ManualClock()
         async with running_ingress(
-            hanging_backend, idle_backend, clock=clock, limits={"sockets": 80}
+            hanging_backend, idle_backend, clock=clock, limits=PROCESS_LIMITS | {"sockets": 80}
         ) as (
             ingress,
             _,
@@ -51,7 +51,9 @@
 
 def test_new_clients_are_rejected_as_busy_while_all_connections_await_a_response() -> None:
     async def scenario() -> None:
-        async with running_ingress(Backend(never_replies), limits={"sockets": 80}) as (
+        async with running_ingress(
+            Backend(never_replies), limits=PROCESS_LIMITS | {"sockets": 80}
+        ) as (
             ingress,
             client,
             _,
@@ -82,7 +84,9 @@
 def test_clients_without_requests_are_closed_first_to_free_descriptors() -> None:
     async def scenario() -> None:
         clock = ManualClock()
-        async with running_ingress(Backend(), clock=clock, limits={"sockets": 80}) as (
+        async with running_ingress(
+            Backend(), clock=clock, limits=PROCESS_LIMITS | {"sockets": 80}
+        ) as (
             ingress,
             active,
             _,
@@ -119,7 +123,9 @@
 ):
     async def scenario() -> None:
         clock = ManualClock()
-        async with running_ingress(Backend(), clock=clock, limits={"sockets": 80}) as (
+        async with running_ingress(
+            Backend(), clock=clock, limits=PROCESS_LIMITS | {"sockets": 80}
+        ) as (
             ingress,
             _,
             _,
--- a/tests/net/test_disconnected_clients.py
+++ b/tests/net/test_disconnected_clients.py
@@ -16,6 +16,7 @@
 from dockthread.routes.options import RouteOptions
 from dockthread.routes.table import RouteTable
 from tests.loopback import (
+    GROSS_PLAN,
     SETTINGS,
     Backend,
     command,
@@ -119,12 +120,9 @@
         counter = Backend(never_replies)
         changes: dict[str, Any] = {"counter": f"127.0.0.1:{await counter.start()}"}
         changes["settings"] = SETTINGS | {
-            "Packages": [{"Name": "gross", "Refill": 10.0, "PeakUnits": 3.0}],
-            "Domain": {
-                "Largest": 4,
-                "MayCount": awaited == "the counter",
-                "CounterTimeout": 10_000_000,
-            },
+            "Packages": [GROSS_PLAN | {"Refill": 10.0, "PeakUnits": 3.0}],
+            "Domain": SETTINGS["Domain"]
+            | {"MayCount": awaited == "the counter", "CounterTimeout": 10_000_000},
         }
         backends = (backend, other) if awaited == "a backoff" else (backend,)
         async with running_ingress(*backends, **changes) as (ingress, _, discovery):
--- a/tests/net/test_discovery_notification_bound.py
+++ b/tests/net/test_discovery_notification_bound.py
@@ -48,7 +48,7 @@
     """Run an ingress on a manual clock, with all delays at their maximum."""
     changes: dict[str, Any] = {
         "ReplicasOfMe": ingress_count,
-        "Safety": {"StopSendingWithin": drain_grace_s * 1_000_000},
+        "Safety": SETTINGS["Safety"] | {"StopSendingWithin": drain_grace_s * 1_000_000},
     }
     changes |= {"Discovery": "subscribe"} if is_polling else {}
     clock, endpoint_list = ManualClock(), message(1, target("s-0", 9), full=True)
--- a/tests/net/test_discovery_processes.py
+++ b/tests/net/test_discovery_processes.py
@@ -15,6 +15,7 @@
 
 from tests.loopback import (
     EMPTY_ENDPOINT_LIST,
+    PROCESS_LIMITS,
     SETTINGS,
     Backend,
     Client,
@@ -52,7 +53,8 @@
         )
         ports = [await old_discovery.start(), await new_discovery.start()]
         settings = SETTINGS | ({"Discovery": "subscribe"} if is_polling else {})
-        limits, endpoint_list = {"sockets": MAX_SOCKETS}, message(1, target("s-0", 9), full=True)
+        limits = PROCESS_LIMITS | {"sockets": MAX_SOCKETS}
+        endpoint_list = message(1, target("s-0", 9), full=True)
         texts = [
             json.dumps(raw_config(endpoint_list, port, limits=limits, settings=settings))
             for port in ports
@@ -101,7 +103,7 @@
         raw = raw_config(
             endpoint_list,
             await discovery.start(),
-            limits={"sockets": MAX_SOCKETS},
+            limits=PROCESS_LIMITS | {"sockets": MAX_SOCKETS},
             settings=settings,
             counter=counter,
         )
--- a/tests/net/test_discovery_watch.py
+++ b/tests/net/test_discovery_watch.py
@@ -28,7 +28,9 @@
 
 def watch_settings(**changes: Any) -> dict[str, Any]:
     return {
-        "settings": SETTINGS | {"Safety": {"StopSendingWithin": DRAIN_GRACE_MS * 1_000}} | changes
+        "settings": SETTINGS
+        | {"Safety": SETTINGS["Safety"] | {"StopSendingWithin": DRAIN_GRACE_MS * 1_000}}
+        | changes
     }
 
 
@@ -93,7 +95,9 @@
     """
 
     async def scenario() -> None:
-        changes = watch_settings(ReplicasOfMe=200, Safety={"StopSendingWithin": 400_000})
+        changes = watch_settings(
+            ReplicasOfMe=200, Safety=SETTINGS["Safety"] | {"StopSendingWithin": 400_000}
+        )
         async with running_ingress(
             Backend(), refused_watches=0 if agent_sends_lists else 12, wait=False, **changes
         ) as (
--- a/tests/net/test_gossip_transport.py
+++ b/tests/net/test_gossip_transport.py
@@ -16,7 +16,16 @@
 from dockthread.net.ingress import Ingress
 from dockthread.observer import Traffic
 from dockthread.policy import GossipReceived, SendGossip, gossip_codec
-from tests.loopback import SETTINGS, Backend, Client, config, run, running_ingress, until
+from tests.loopback import (
+    GROSS_PLAN,
+    SETTINGS,
+    Backend,
+    Client,
+    config,
+    run,
+    running_ingress,
+    until,
+)
 
 
 def free_addresses(count: int) -> tuple[Address, ...]:
@@ -114,8 +123,8 @@
         "MyNumber": number,
         "ReplicasOfMe": len(peer_addresses),
         "Limits": {**SETTINGS["Limits"], "Peers": True},
-        "Domain": {"Largest": 4, "PeerInPerS": 60},
-        "Packages": [{"Name": "gross", "Refill": 0.001, "PeakUnits": 40.0}],
+        "Domain": {**SETTINGS["Domain"], "PeerInPerS": 60},
+        "Packages": [GROSS_PLAN | {"Refill": 0.001, "PeakUnits": 40.0}],
     }
     return {
         "settings": settings,
--- a/tests/net/test_requests_in_flight.py
+++ b/tests/net/test_requests_in_flight.py
@@ -21,7 +21,17 @@
     SendAttempt,
     TimerFired,
 )
-from tests.loopback import SETTINGS, Backend, message, request, run, running_ingress, target, until
+from tests.loopback import (
+    GROSS_PLAN,
+    SETTINGS,
+    Backend,
+    message,
+    request,
+    run,
+    running_ingress,
+    target,
+    until,
+)
 from tests.net.support import (
     UNREACHED_DEADLINE_MS,
     VALUE_REPLY,
@@ -83,7 +93,7 @@
 
 def test_rejections_advise_a_retry_delay_of_at_most_the_maximum() -> None:
     async def scenario() -> None:
-        plan = {"Name": "gross", "Refill": 0.001, "PeakUnits": 1.0}
+        plan = GROSS_PLAN | {"Refill": 0.001, "PeakUnits": 1.0}
         backend = Backend()
         async with running_ingress(backend, settings=SETTINGS | {"Packages": [plan]}) as (
             _,
@@ -183,7 +193,7 @@
     """
 
     async def scenario() -> None:
-        settings = SETTINGS | {"Safety": {"StopSendingWithin": 1_000_000}}
+        settings = SETTINGS | {"Safety": SETTINGS["Safety"] | {"StopSendingWithin": 1_000_000}}
         changes: dict[str, Any] = {
             "clock": ManualClock(),
             "settings": settings,
--- a/tests/routes/test_limits_in_service.py
+++ b/tests/routes/test_limits_in_service.py
@@ -7,7 +7,7 @@
 import pytest
 
 from dockthread.clock import ManualClock
-from tests.loopback import SETTINGS, Client, run, until
+from tests.loopback import GROSS_PLAN, SETTINGS, Client, run, until
 from tests.routes.routed_ingress import (
     BUSY,
     ERROR,
@@ -20,7 +20,7 @@
     usage_of,
 )
 
-PLANS = [{"Name": "gross", "Refill": 1.0, "PeakUnits": 1000.0}]
+PLANS = [GROSS_PLAN | {"Refill": 1.0}]
 
 
 def test_requests_beyond_the_limit_are_queued_by_weight_until_queue_wait_expires() -> None:
--- a/tests/routes/test_reloads_in_service.py
+++ b/tests/routes/test_reloads_in_service.py
@@ -10,7 +10,17 @@
 from pathlib import Path
 from typing import Any
 
-from tests.loopback import SETTINGS, Client, Discovery, message, raw_config, run, target, until
+from tests.loopback import (
+    GROSS_PLAN,
+    SETTINGS,
+    Client,
+    Discovery,
+    message,
+    raw_config,
+    run,
+    target,
+    until,
+)
 from tests.routes.routed_ingress import (
     CHECKOUT,
     ERROR,
@@ -36,7 +46,7 @@
     return {
         **SETTINGS,
         "Limits": {**SETTINGS["Limits"], "SecondCopies": True},
-        "Packages": [{"Name": "gross", "Refill": 1e5, "PeakUnits": 1e5}],
+        "Packages": [GROSS_PLAN | {"Refill": 1e5, "PeakUnits": 1e5}],
         "Classes": [dict(status, Effect=effect), checkout],
     }
 
@@ -135,7 +145,7 @@
 
 def test_reloads_under_load_fail_no_request() -> None:
     async def scenario() -> None:
-        plans = [{"Name": "gross", "Refill": 100.0, "PeakUnits": 1e6}]
+        plans = [GROSS_PLAN | {"Refill": 100.0, "PeakUnits": 1e6}]
         settings = {**SETTINGS, "Packages": plans}
         answers = (answers_after(0.002), answers_after(0.002))
         async with routed_ingress(STATUS + "attempts = 2\n", *answers, settings=settings) as (
--- a/tests/telemetry/support.py
+++ b/tests/telemetry/support.py
@@ -21,6 +21,7 @@
 from dockthread.telemetry.receiver.ledger import Ledger
 from dockthread.telemetry.receiver.stand_in import StandIn
 from tests.loopback import (
+    GROSS_PLAN,
     SETTINGS,
     Backend,
     Client,
@@ -36,8 +37,8 @@
 PASSWORD = b"a password of the test's own"
 # Plan klein has so small a quota that some requests are rejected, so all three outcomes occur.
 PLANS = [
-    {"Name": "gross", "Refill": 1000.0, "PeakUnits": 1000.0},
-    {"Name": "klein", "Refill": 1.0, "PeakUnits": 4.0},
+    GROSS_PLAN,
+    GROSS_PLAN | {"Name": "klein", "Refill": 1.0, "PeakUnits": 4.0},
 ]
 
 ResponseCounts = Counter[tuple[str, str, str]]
--- a/tests/test_simulator_adapter.py
+++ b/tests/test_simulator_adapter.py
@@ -12,12 +12,12 @@
 
 from dockthread import simulator_adapter, simulator_wire
 from dockthread.policy import AttemptEnded, Outcome, SendAttempt, SendGossip, SetTimer
+from tests import loopback
 
-SETTINGS = {
-    "MyNumber": 0,
+SETTINGS = loopback.SETTINGS | {
     "ReplicasOfMe": 1,
-    "Classes": [{"Aim": 1000000, "HardLimit": 4000000, "Effect": "pure", "Group": "all", "New": 1}],
-    "Packages": [{"Refill": 2.0, "PeakUnits": 8.0}],
+    "Classes": [loopback.STATUS_CLASS | {"Aim": 1000000, "Group": "all", "New": 1}],
+    "Packages": [loopback.GROSS_PLAN | {"Refill": 2.0, "PeakUnits": 8.0}],
     "Period": 2000,
     "SomethingNew": {"a": 1},
 }
