Count classes that appear at a reload in telemetry

Callers got no answers, of any class, some 64 answers after a new class was first used, where the ingress reported to Graphite or collectd.

Cause: the tally made its tables for the classes of its start. A request of a class that a SIGHUP added raised KeyError where its batch was counted, the batch stayed, and every later request raised too, before its response was sent.

Evidence: the log's tracebacks end in Tally.flush, called from RequestTable.respond; the response was set and counted in /_vars, and never written. With telemetry off the same reload loses nothing.

Change: Ingress.reload tells the observer how many classes there are, and the tally adds rows before the first request of a new class. The reader of metrics takes the names of classes in effect at each report. `late` is judged by the objective with which a request arrived, so the tally keeps no table of them. A batch that cannot be counted is dropped, and a response is sent before it is reported.

--- a/dockthread/logs/trace.py
+++ b/dockthread/logs/trace.py
@@ -34,6 +34,7 @@
         duration_ms: float,
         units: float,
         was_forwarded: bool,
+        is_late: bool,  # noqa: ARG002  the observer's interface
     ) -> None:
         """Log the response to a request."""
         self.event(
@@ -52,7 +53,9 @@
         self, request_class: int, plan: int, customer: int, units: float, was_forwarded: bool
     ) -> None:
         """Log a request whose client disconnected before the response."""
-        self.request_completed(request_class, plan, customer, "gone", "", 0.0, units, was_forwarded)
+        self.request_completed(
+            request_class, plan, customer, "gone", "", 0.0, units, was_forwarded, is_late=False
+        )
 
     def counter_call_ended(self, outcome: Outcome, duration_ms: float) -> None:
         """Log the end of a call to the quota counter."""
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -239,7 +239,9 @@
             names=merged_settings.names,
         )
         self.request_parser = _request_parser(self.config, merged_settings.offered_classes)
-        self.traffic.ensure_classes(len(merged_settings.names.classes))
+        class_count = len(merged_settings.names.classes)
+        self.traffic.ensure_classes(class_count)
+        self.observer.classes_added(class_count)
         self.watch.change_address(config.discovery)
         self.counter.change_address(config.counter)
 
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -150,7 +150,8 @@
             reason,
             0.0,
             command.units,
-            False,
+            was_forwarded=False,
+            is_late=False,
         )
         return ResponseSlot(response)
 
@@ -166,20 +167,22 @@
         request.state = RequestState.ANSWERED
         command = request.command
         self._traffic.outcomes[outcome][command.request_class] += 1
+        self._wire_ids_in_flight.discard(command.wire_id)
+        request.connection.flush()
+        self._forget_if_done(request)
         if self.observer.active:
+            duration_ms = self._clock.now() - request.arrived_ms
             self.observer.request_completed(
                 command.request_class,
                 command.plan,
                 command.customer,
                 outcome,
                 reason,
-                self._clock.now() - request.arrived_ms,
+                duration_ms,
                 command.units,
-                bool(request.attempts),
+                was_forwarded=bool(request.attempts),
+                is_late=duration_ms > command.latency_objective_ms,
             )
-        self._wire_ids_in_flight.discard(command.wire_id)
-        request.connection.flush()
-        self._forget_if_done(request)
 
     def on_attempt_ended(self, attempt: Attempt, reply: resp.BackendReply) -> None:
         """Respond to the request if the attempt succeeded, and notify the policy engine."""
--- a/dockthread/net/resp/commands.py
+++ b/dockthread/net/resp/commands.py
@@ -36,6 +36,7 @@
     plan: int
     customer: int
     time_left_ms: float
+    latency_objective_ms: float  # that of the class when the request arrived
     units: float
     spread: int
     first: int
@@ -97,6 +98,9 @@
             b"API.READ" if request_class.effect is Effect.SAFE else b"API.WRITE"
             for request_class in classes
         ]
+        self._objectives_ms = [
+            request_class.latency_objective * 1000.0 for request_class in classes
+        ]
         self._ingress_count = ingress_count
         self._max_units = max_units
 
@@ -132,6 +136,7 @@
             plan,
             customer=int(arguments[1], 16),
             time_left_ms=float(duration) if _DURATION.fullmatch(duration) else 0.0,
+            latency_objective_ms=self._objectives_ms[request_class],
             units=self._integer(terms, b"units", b"1"),
             spread=self._integer(terms, b"spread", b"1"),
             first=self._integer(terms, b"first", b"0"),
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -95,10 +95,12 @@
         duration_ms: float,
         units: float,
         was_forwarded: bool,
+        is_late: bool,
     ) -> None:
         """A request was answered.
 
         `was_forwarded` tells whether at least one attempt was started, which consumes the units.
+        `is_late` tells whether the latency objective with which the request arrived was exceeded.
         """
 
     def client_disconnected(
@@ -106,6 +108,13 @@
     ) -> None:
         """A client closed its connection before it got the response to a request."""
 
+    def classes_added(self, class_count: int) -> None:
+        """Classes may have been added; there are `class_count` now.
+
+        It is called before the first request of a new class arrives. Numbers of classes never
+        change.
+        """
+
     def attempt_ended(self, outcome: Outcome) -> None:
         """An attempt at a backend ended."""
 
--- a/dockthread/telemetry/exporter.py
+++ b/dockthread/telemetry/exporter.py
@@ -126,8 +126,8 @@
     def _begin_incarnation(self) -> None:
         ingress = self._ingress
         options = self._options
-        classes = ingress.config.policy_settings.classes
-        self._tally = Tally(classes, len(ingress.config.names.plans), options.firms)
+        names = ingress.config.names
+        self._tally = Tally(len(names.classes), len(names.plans), options.firms)
         now_ms = ingress.clock.now()
         unix_ms = now_ms + ingress.clock.unix_offset
         self._timestamps = TimestampSource(unix_ms / 1000.0, now_ms / 1000.0)
--- a/dockthread/telemetry/metrics_reader.py
+++ b/dockthread/telemetry/metrics_reader.py
@@ -67,9 +67,12 @@
         # The ingress counts attempts and hedges since its start, but an incarnation may begin later.
         self._initial_attempts = ingress.traffic.attempts_started
         self._initial_hedges = ingress.traffic.hedges_started
-        names = ingress.config.names
-        self._classes = [path_part(name) for name in names.classes]
-        self._plans = [path_part(name) for name in names.plans]
+        self._plans = [path_part(name) for name in ingress.config.names.plans]
+
+    @property
+    def _classes(self) -> list[str]:
+        """The path parts of all classes in effect; a reload may have added some."""
+        return [path_part(name) for name in self._ingress.config.names.classes]
 
     def points(self, elapsed_ms: float, senders: Iterable[tuple[str, Sender]] = ()) -> list[Point]:
         """Return all points of a report.
--- a/dockthread/telemetry/tally.py
+++ b/dockthread/telemetry/tally.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple, TypeAlias
 
 from dockthread.observer import OUTCOMES, REJECTED, SERVED, Observer
-from dockthread.policy import Outcome, RequestClass
+from dockthread.policy import Outcome
 from dockthread.telemetry.heavy_hitters import HeavyHitters
 from dockthread.telemetry.latency_histogram import LatencyHistogram
 
@@ -31,7 +31,7 @@
 ResponseKey: TypeAlias = tuple[int, int, str]
 ClassAndPlan: TypeAlias = tuple[int, int]
 # The arguments of `request_completed`, as a plain tuple because creating it is faster.
-_CompletedRequest: TypeAlias = tuple[int, int, int, str, str, float, float, bool]
+_CompletedRequest: TypeAlias = tuple[int, int, int, str, str, float, float, bool, bool]
 
 
 class ReasonKey(NamedTuple):
@@ -52,7 +52,8 @@
         responses: Number of completed requests by class, plan and outcome.
         reasons: Number of rejected and failed requests by class, plan, outcome and reason.
         disconnected: Number of requests whose client disconnected before the response.
-        late_responses: Number of served requests that exceeded the latency objective, by class.
+        late_responses: Number of served requests that exceeded the latency objective with which
+            they arrived, by class.
         latencies: Latencies of served requests, by class.
         units_requested: Units of all completed or abandoned requests, by plan.
         units_forwarded: Units of requests that were forwarded, by plan.
@@ -68,21 +69,12 @@
 
     active = True
 
-    def __init__(
-        self, classes: tuple[RequestClass, ...], plan_count: int, reported_customers: int
-    ) -> None:
-        pairs: list[ClassAndPlan] = [
-            (request_class, plan)
-            for request_class in range(len(classes))
-            for plan in range(plan_count)
-        ]
-        self.responses: dict[ResponseKey, int] = {
-            (*pair, outcome): 0 for pair in pairs for outcome in OUTCOMES
-        }
+    def __init__(self, class_count: int, plan_count: int, reported_customers: int) -> None:
+        self.responses: dict[ResponseKey, int] = {}
         self.reasons: Counter[ReasonKey] = Counter()
-        self.disconnected = dict.fromkeys(pairs, 0)
-        self.late_responses = [0] * len(classes)
-        self.latencies = [LatencyHistogram() for _ in classes]
+        self.disconnected: dict[ClassAndPlan, int] = {}
+        self.late_responses: list[int] = []
+        self.latencies: list[LatencyHistogram] = []
         self.units_requested = [0.0] * plan_count
         self.units_forwarded = [0.0] * plan_count
         self.units_rejected = [0.0] * plan_count
@@ -92,12 +84,21 @@
         self.event_loop_lags = LatencyHistogram()
         self.circuit_open_ms = 0.0
         self.on_phase: Callable[[str], None] = lambda _name: None
-        self._objectives_ms = [
-            request_class.latency_objective * 1000.0 for request_class in classes
-        ]
+        self._plan_count = plan_count
         self._reported_customers = reported_customers
         self.heavy_hitters = self._empty_heavy_hitters()
         self._pending: list[_CompletedRequest] = []
+        self.classes_added(class_count)
+
+    def classes_added(self, class_count: int) -> None:
+        """Add the counts of the classes that are new, which start at an explicit 0."""
+        for request_class in range(len(self.latencies), class_count):
+            self.late_responses.append(0)
+            self.latencies.append(LatencyHistogram())
+            for plan in range(self._plan_count):
+                self.disconnected[request_class, plan] = 0
+                for outcome in OUTCOMES:
+                    self.responses[request_class, plan, outcome] = 0
 
     def _empty_heavy_hitters(self) -> HeavyHitters:
         return HeavyHitters(self._reported_customers * ENTRIES_PER_REPORTED_CUSTOMER)
@@ -119,10 +120,21 @@
         duration_ms: float,
         units: float,
         was_forwarded: bool,
+        is_late: bool,
     ) -> None:
         """Buffer a completed request; `BATCH_SIZE` of them are counted together."""
         self._pending.append(
-            (request_class, plan, customer, outcome, reason, duration_ms, units, was_forwarded)
+            (
+                request_class,
+                plan,
+                customer,
+                outcome,
+                reason,
+                duration_ms,
+                units,
+                was_forwarded,
+                is_late,
+            )
         )
         if len(self._pending) >= BATCH_SIZE:
             self.flush()
@@ -137,7 +149,8 @@
         responses = self.responses
         latencies = self.latencies
         late_responses = self.late_responses
-        objectives_ms = self._objectives_ms
+        pending = self._pending
+        self._pending = []  # an entry that cannot be counted must not be met again
         for (
             request_class,
             plan,
@@ -147,18 +160,18 @@
             duration_ms,
             units,
             was_forwarded,
-        ) in self._pending:
+            is_late,
+        ) in pending:
             responses[request_class, plan, outcome] += 1
             self._add_units(plan, customer, units, was_forwarded)
             if outcome == SERVED:
                 latencies[request_class].add(duration_ms)
-                late_responses[request_class] += duration_ms > objectives_ms[request_class]
+                late_responses[request_class] += is_late
                 continue
             self._add_reason(ReasonKey(request_class, plan, outcome, reason))
             if outcome == REJECTED:
                 self.units_rejected[plan] += units
                 self.heavy_hitters.add_rejected(plan, customer, units)
-        self._pending.clear()
 
     def _add_reason(self, key: ReasonKey) -> None:
         if key not in self.reasons and len(self.reasons) >= MAX_REASONS * len(self.responses):
--- a/tests/telemetry/test_exporter.py
+++ b/tests/telemetry/test_exporter.py
@@ -148,7 +148,7 @@
             tally = exporter.tally
             for customer in range(10_000):
                 tally.request_completed(
-                    0, 0, customer, "refused", f"reason-{customer}", 0.0, 1.0, False
+                    0, 0, customer, "refused", f"reason-{customer}", 0.0, 1.0, False, False
                 )
             for update_number in range(100):
                 targets = [target(f"s-{update_number}-{number}", 1 + number) for number in range(3)]
