Survive a lack of descriptors when a drain begins

Callers saw connections closed without an answer, and the process ended with 1, where SIGTERM found no free descriptor.

Cause: the last accept before the listener closes was not guarded, unlike the accepts before it; EMFILE ended the run under its requests.

Change: accept_remaining frees a descriptor as accept does, or leaves the rest of the queue. The two share one method.

Measured: the new test of a drain without a free descriptor failed before (its client got no answer), passes now; tests/net/test_drain.py 6 of 6.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -285,9 +285,9 @@
         self.lifecycle.enter(Phase.LINGERING)
         await self.timers.sleep(LINGER_MS)
         accept_task.cancel()
-        self.listener.accept_queued()
+        self.listener.accept_remaining()
         await self.timers.sleep(FINAL_READ_MS)
-        self.listener.accept_queued()
+        self.listener.accept_remaining()
         self.listener.socket.close()
 
     async def _drain(self) -> None:
--- a/dockthread/net/listener.py
+++ b/dockthread/net/listener.py
@@ -84,13 +84,31 @@
                 await asyncio.sleep(0)
             except OSError as error:
                 # Without a free descriptor, clients wait in the accept queue.
-                if error.errno in RESOURCE_ERRNOS and (
-                    self._backend_connections.close_longest_idle() or self.evict_idle()
-                ):
+                if self._free_descriptor(error):
                     continue
                 logger.warning("cannot accept: {}", error)
                 await asyncio.sleep(ACCEPT_RETRY_DELAY_S)
 
+    def accept_remaining(self) -> None:
+        """Accept the connections that wait, before the ingress stops listening.
+
+        Those that cannot be accepted stay in the queue; requests in flight must not suffer.
+        """
+        while True:
+            try:
+                self.accept_queued()
+            except OSError as error:
+                if self._free_descriptor(error):
+                    continue
+                logger.warning("cannot accept before draining: {}", error)
+            return
+
+    def _free_descriptor(self, error: OSError) -> bool:
+        """Close an idle connection if `error` is a lack of resources; return whether one was."""
+        return error.errno in RESOURCE_ERRNOS and (
+            self._backend_connections.close_longest_idle() or self.evict_idle()
+        )
+
     def accept_queued(self, limit: int = ACCEPT_BACKLOG) -> None:
         """Accept up to `limit` connections from the accept queue."""
         for _ in range(limit):
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import os
+import resource
 import socket
 import struct
 import time
@@ -120,3 +122,16 @@
         clock.advance(10)
         ingress.timers.run_due()
         await asyncio.sleep(0.001)
+
+
+@contextmanager
+def no_free_descriptor() -> Iterator[None]:
+    """Let this process open no further descriptor."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    next_descriptor = os.dup(0)
+    os.close(next_descriptor)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (next_descriptor, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/tests/net/test_drain.py
+++ b/tests/net/test_drain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -10,7 +11,7 @@
 from dockthread.net.ingress import LINGER_MS
 from dockthread.net.lifecycle import Phase
 from tests.loopback import SETTINGS, Backend, request, run, running_ingress, until
-from tests.net.support import VALUE_REPLY, reload_settings, stop_until
+from tests.net.support import VALUE_REPLY, no_free_descriptor, reload_settings, stop_until
 
 SHORT_DEADLINE_MS = 2_000
 SHORTER_DEADLINES = SETTINGS | {
@@ -103,3 +104,30 @@
             assert str(answer.result()).startswith("ERR")
 
     run(scenario())
+
+
+def test_a_request_is_answered_in_a_drain_that_begins_without_a_free_descriptor() -> None:
+    """Guards against an error of the last accept that ends the process under its requests."""
+
+    async def scenario() -> None:
+        may_reply, clock = asyncio.Event(), ManualClock()
+
+        async def reply_later(args: list[bytes]) -> bytes | None:
+            await may_reply.wait()
+            return VALUE_REPLY
+
+        backend = Backend(reply_later)
+        async with running_ingress(backend, clock=clock) as (ingress, client, _):
+            client.writer.write(request(1, "checkout"))
+            await until(lambda: backend.received_commands)
+            await stop_until(ingress, clock, Phase.LINGERING)
+            with (
+                socket.create_connection(("127.0.0.1", ingress.address.port)),
+                no_free_descriptor(),
+            ):
+                # The event loop has not run since this client connected, so it waits in the queue.
+                await stop_until(ingress, clock, Phase.DRAINING)
+                may_reply.set()
+                assert await client.answer() == b"value"
+
+    run(scenario())
