Keep the exceptions of an observer away from requests

Callers got no answer where an observer raised: the code that sends responses, tells the policy engine of ended attempts and changes phases called it bare.

Cause: the interface asked that methods not raise, and nothing held it. A fault in telemetry thus reached the request that was being reported; a raise on a phase would have ended a graceful shutdown.

Change: Ingress.observe puts every observer behind IsolatedObserver, which logs the first exception with its traceback and then once in 10 s how many there were. Faults of the log itself end there too.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -27,7 +27,7 @@
 from dockthread.net.request import RouteLookup
 from dockthread.net.requests_in_flight import RequestLimits, RequestTable
 from dockthread.net.timers import Timers
-from dockthread.observer import Observer, Traffic
+from dockthread.observer import IsolatedObserver, Observer, Traffic
 from dockthread.policy import PolicyEngine, PolicySettings
 
 # Time after the signal to stop during which the load balancer may still send new clients here.
@@ -194,7 +194,9 @@
     # Runtime changes
 
     def observe(self, observer: Observer) -> None:
-        """Replace the observer that is notified of events."""
+        """Replace the observer that is notified of events; its exceptions are only logged."""
+        if type(observer) is not Observer:
+            observer = IsolatedObserver(observer, self.clock)
         self.observer = observer
         self.requests.observer = observer
         self._executor.observer = observer
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -7,8 +7,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+from loguru import logger
+
+from dockthread.clock import Clock
 from dockthread.policy import Outcome
 
+LOG_INTERVAL_MS = 10_000.0  # Minimum time between two log lines about observers that failed.
+
 # Outcomes of a request. They are part of metric paths.
 SERVED = "served"
 REJECTED = "refused"
@@ -74,8 +83,8 @@
 class Observer:
     """Receives the events of an ingress and ignores them.
 
-    Times are in milliseconds; classes and plans are the policy engine's numbers. Methods must not
-    raise exceptions.
+    Times are in milliseconds; classes and plans are the policy engine's numbers. Exceptions are
+    logged and go no further (see `IsolatedObserver`).
 
     Attributes:
         active: Whether the observer uses what is reported; if not, calls may be skipped.
@@ -126,3 +135,71 @@
 
     def event(self, event_name: str, **fields: object) -> None:
         """An individual event occurred; called only while `tracing` is set."""
+
+
+class IsolatedObserver(Observer):
+    """Passes all events to another observer, and logs the exceptions that it raises.
+
+    An exception would otherwise reach the code that reports the event, such as the code that sends
+    a response. The first failure is logged with its traceback; later ones are counted and logged
+    once per `LOG_INTERVAL_MS`.
+
+    Attributes:
+        failures: Number of calls that raised an exception.
+    """
+
+    def __init__(self, observer: Observer, clock: Clock) -> None:
+        self.active = observer.active
+        self.tracing = observer.tracing
+        self.failures = 0
+        self._observer = observer
+        self._clock = clock
+        self._failures_logged = 0
+        self._next_log_ms = 0.0
+
+    def request_completed(self, *arguments: Any, **flags: Any) -> None:
+        """Pass on that a request was answered."""
+        self._call(self._observer.request_completed, *arguments, **flags)
+
+    def client_disconnected(self, *arguments: Any) -> None:
+        """Pass on that a client closed its connection before the response."""
+        self._call(self._observer.client_disconnected, *arguments)
+
+    def classes_added(self, class_count: int) -> None:
+        """Pass on the number of classes."""
+        self._call(self._observer.classes_added, class_count)
+
+    def attempt_ended(self, outcome: Outcome) -> None:
+        """Pass on that an attempt ended."""
+        self._call(self._observer.attempt_ended, outcome)
+
+    def counter_call_ended(self, outcome: Outcome, duration_ms: float) -> None:
+        """Pass on that a call to the quota counter ended."""
+        self._call(self._observer.counter_call_ended, outcome, duration_ms)
+
+    def phase(self, name: str) -> None:
+        """Pass on the phase that the ingress entered."""
+        self._call(self._observer.phase, name)
+
+    def event(self, event_name: str, **fields: object) -> None:
+        """Pass on an individual event."""
+        self._call(self._observer.event, event_name, **fields)
+
+    def _call(self, method: Callable[..., None], *arguments: Any, **keywords: Any) -> None:
+        try:
+            method(*arguments, **keywords)
+        except Exception:  # noqa: BLE001 - whatever an observer raises, requests are served
+            self.failures += 1
+            with suppress(Exception):  # the log may be what fails
+                self._log_failure(method.__name__)
+
+    def _log_failure(self, method_name: str) -> None:
+        now = self._clock.now()
+        if now < self._next_log_ms:
+            return
+        self._next_log_ms = now + LOG_INTERVAL_MS
+        new_failures = self.failures - self._failures_logged
+        self._failures_logged = self.failures
+        logger.bind(failures=self.failures).exception(
+            "an observer failed in {}, {} times since the last line", method_name, new_failures
+        )
