Lose lines of the log rather than wait for its target

Callers waited for as long as nobody read the pipe to which an ingress logs.

Cause: the log wrote to its target on the event loop, and a full pipe blocks. An error of another target, such as a full disk, was reported on standard error with a traceback, which may be that pipe.

Change: LogSink writes what the target takes at once, by a poll before each piece that a pipe takes whole. A line that is not taken is lost, and the next one that is taken is preceded by the number of lost lines.

--- a/dockthread/logs/setup.py
+++ b/dockthread/logs/setup.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, TextIO
 
 from loguru import logger
 
 from dockthread.errors import SettingsError
+from dockthread.logs.sink import LogSink
 
 if TYPE_CHECKING:
     from dockthread.logs.options import LogOptions
@@ -26,16 +29,12 @@
         SettingsError: The level is unknown, or the target cannot be opened.
     """
     form, target = (options.form, options.target) if options else ("text", "stderr")
-    sink: Any = target if target not in STREAMS else getattr(sys, target)
     logger.remove()
     logger.configure(extra=fields)
     try:
+        sink = LogSink(_open_target(target))
         if form == "json":
-            stream: TextIO = sink if target in STREAMS else open(target, "a", buffering=1)  # noqa: SIM115  stays open until the process exits
-            logger.add(
-                lambda message: print(format_json(message.record), file=stream, flush=True),
-                level=level,
-            )
+            logger.add(lambda message: sink.write(f"{format_json(message.record)}\n"), level=level)
         else:
             logger.add(sink, level=level, format=LINE_FORMAT)
     except ValueError as error:
@@ -47,6 +46,20 @@
         raise SettingsError(reason, section="log", key="target") from error
 
 
+def _open_target(target: str) -> TextIO:
+    """Return the stream of a target; a file stays open until the process exits.
+
+    Raises:
+        OSError: The file cannot be opened.
+    """
+    if target in STREAMS:
+        stream: TextIO | None = getattr(sys, target)
+        # Python has no stream if its descriptor was closed before the process started.
+        return stream or open(os.devnull, "w", encoding="utf-8")
+    Path(target).parent.mkdir(parents=True, exist_ok=True)
+    return open(target, "a", encoding="utf-8")
+
+
 def format_json(record: Any) -> str:
     """Return a log record as one line of JSON.
 
