Keep zones apart that the settings of the start do not name

A retry of a keyed request could go to another zone, where the key is unknown and the request runs again, if both zones were added after the start.

Cause: all zones without a name in the settings shared one number, and a reload does not change these names.

Change: each such zone gets a number of its own. They stay nameless for routes and planned maintenance, as before.

Measured: the new test, 20 keyed requests whose first attempt is reset in two added zones, failed before and passes now: none ran in both.

--- a/dockthread/net/endpoint_list_codec.py
+++ b/dockthread/net/endpoint_list_codec.py
@@ -52,17 +52,20 @@
 class EndpointListCodec:
     """Decodes discovery's messages, and maps zone and model names to the settings' numbers.
 
-    All zones that the settings do not name share the next free number. The same holds for models.
+    A zone that the settings do not name gets the next free number: a reload does not change these
+    names, and keys known in one zone are not known in another. All models that the settings do not
+    name share one number.
     """
 
     def __init__(self, names: Names, clock: Clock) -> None:
+        self._named_zones = names.zones
         self._zones = {name: number for number, name in enumerate(names.zones)}
         self._kinds = {name: number for number, name in enumerate(names.kinds)}
         self._clock = clock
 
     def zone_name(self, zone: int) -> str:
         """Return the name of a zone; empty if the settings do not name it."""
-        return next((name for name, number in self._zones.items() if number == zone), "")
+        return self._named_zones[zone] if zone < len(self._named_zones) else ""
 
     def decode_update(self, message: Any) -> EndpointListUpdate:
         """Decode a message. Its entries may already be decoded.
@@ -104,7 +107,7 @@
             uid,
             address_text,
             STATE_BY_NAME[entry["state"]],
-            self._zones.get(entry.get("az", ""), len(self._zones)),
+            self._zones.setdefault(entry.get("az", ""), len(self._zones)),
             self._kinds.get(entry.get("model", ""), len(self._kinds)),
             int(entry.get("pod_group", 0)),
             1.0 if weight == 1.0 else weight,  # a shared float object saves memory
--- a/tests/net/test_endpoint_list.py
+++ b/tests/net/test_endpoint_list.py
@@ -13,7 +13,17 @@
 from dockthread.net.endpoint_list import EndpointList
 from dockthread.net.endpoint_list_codec import DiscoveryError
 from dockthread.policy import BackendState, EndpointListKind
-from tests.loopback import message, target
+from tests.loopback import (
+    CUSTOMER_KEY,
+    SETTINGS,
+    STATUS_CLASS,
+    Backend,
+    message,
+    run,
+    running_ingress,
+    target,
+    until,
+)
 
 
 def new_endpoint_list(clock: ManualClock | None = None) -> EndpointList:
@@ -122,3 +132,42 @@
         [3],
         [2, 3],
     )
+
+
+def test_zones_that_the_settings_do_not_name_are_kept_apart() -> None:
+    """Guards against a retry in another zone, which does not know the key, after zones were added.
+
+    The names of the settings are those of the start; a reload does not change them.
+    """
+
+    async def scenario() -> None:
+        halls_by_key: dict[bytes, set[str]] = {}
+
+        def backend(hall: str) -> Backend:
+            async def answer(args: list[bytes]) -> bytes | None:
+                key = args[3].partition(b"k=")[2]
+                is_first = key not in halls_by_key
+                halls_by_key.setdefault(key, set()).add(hall)
+                return None if is_first else b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+            return Backend(answer)
+
+        halls = ("hall-x", "hall-y") * 2
+        targets = [
+            target(f"x-{number}", await backend(hall).start()) | {"az": hall}
+            for number, hall in enumerate(halls)
+        ]
+        mark = STATUS_CLASS | {"Name": "mark", "Effect": "token", "Group": "zone"}
+        settings = SETTINGS | {"Classes": [mark | {"Window": 2_500_000}]}
+        async with running_ingress(Backend(), settings=settings) as (ingress, client, discovery):
+            discovery.push(message(2, *targets, full=True))
+            await until(lambda: ingress.endpoints.listed_count == len(targets))
+            for number in range(20):
+                terms = b"c=mark,t=gross,d=4000,k=%016x" % number
+                client.send(b"API.WRITE", CUSTOMER_KEY, b"%016x" % (number + 1), terms)
+                assert await client.answer() == b"value"
+            assert all(len(ran) == 1 for ran in halls_by_key.values())
+            assert len(halls_by_key) == 20
+            assert [ingress.endpoints.zone_of(f"x-{number}") for number in range(4)] == [""] * 4
+
+    run(scenario())
