Let no failing component stop a shutdown or later reloads

Callers and operators would have seen a SIGTERM without effect where handing over the fleet's leadership raised, exit code 1 where the last telemetry report could not be made, and reloads that ended without a count or a line.

Cause: each step of a shutdown relied on those before it not to raise, and a reload on the readers of files to raise SettingsError alone.

Change: each step is taken in turn, and its exception logged. An unexpected error while files are read counts as a rejected reload.

--- a/dockthread/daemon.py
+++ b/dockthread/daemon.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import os
 import signal
 import sys
@@ -22,8 +21,10 @@
 from dockthread.clock import Clock
 from dockthread.config.platform_settings import read_config, reread_config
 from dockthread.errors import SettingsError
+from dockthread.logs.failures import logged_failure
 from dockthread.logs.setup import set_up
 from dockthread.net.endpoint_list_codec import DiscoveryError
+from dockthread.net.garbage_collection import tune_garbage_collector
 from dockthread.net.ingress import Ingress
 
 if TYPE_CHECKING:
@@ -43,10 +44,6 @@
 CANNOT_LISTEN = 1
 BAD_CONFIGURATION = 2
 
-# Allocations between two collections of the youngest generation. Requests leave no reference
-# cycles, so frequent collections would only cost time.
-GC_THRESHOLD = 20_000
-
 
 class Daemon:
     """One ingress and its optional components.
@@ -114,20 +111,28 @@
             SettingsError: A component configured in the operator's file cannot be started.
             OSError: An address cannot be bound.
         """
-        _tune_garbage_collector()
+        tune_garbage_collector()
         self._open_management_server()
         await self._join_fleet()
         self.subscribe_to_control_plane()
         try:
             await self.ingress.run()
         finally:
-            if self.resource_applier is not None:
+            await self._close_components()
+
+    async def _close_components(self) -> None:
+        """Close the optional components; the failure of one is logged and stops no other."""
+        if self.resource_applier is not None:
+            with logged_failure("close the subscription to the control plane"):
                 await self.resource_applier.close()
-            if self._maintenance is not None:
+        if self._maintenance is not None:
+            with logged_failure("leave the fleet"):
                 await self._maintenance.close()
-            if self._management_server is not None:
+        if self._management_server is not None:
+            with logged_failure("close the management endpoint"):
                 self._management_server.close()
-            if self._exporter is not None:
+        if self._exporter is not None:
+            with logged_failure("send the last telemetry report"):
                 await self._exporter.shutdown()
 
     def stop(self) -> None:
@@ -137,7 +142,8 @@
         requests in flight may take long.
         """
         if self._maintenance is not None:
-            self._maintenance.transfer_leadership()
+            with logged_failure("hand over the leadership of the fleet"):
+                self._maintenance.transfer_leadership()
         self.ingress.stop()
 
     def reload(self) -> None:
@@ -251,6 +257,10 @@
                 self.admin.reloads.rejected += 1
                 logger.warning("reload rejected, old configuration stays in effect: {}", error)
                 continue
+            except Exception:  # noqa: BLE001 - a file that cannot be read must not end reloads
+                self.admin.reloads.rejected += 1
+                logger.exception("reload failed, old configuration stays in effect")
+                continue
             self.admin.reloads.applied += 1
             self._apply_reloaded(config, operator_config)
             logger.info(
@@ -301,16 +311,6 @@
                 logger.warning("[{}] has changed; this takes effect at the next start", name)
 
 
-def _tune_garbage_collector() -> None:
-    """Exclude the objects created during startup from garbage collection, and collect less often.
-
-    These objects live until the process ends, so scanning them would only cost time.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD)
-
-
 async def _run_daemon(
     config: IngressConfig,
     operator_file: str | None,
--- a/dockthread/telemetry/exporter.py
+++ b/dockthread/telemetry/exporter.py
@@ -254,5 +254,7 @@
                     await self._report_task
         except TimeoutError:
             pass
+        except Exception:  # noqa: BLE001 - reports that are queued already must be sent
+            logger.exception("cannot make the last telemetry report")
         await self._drain(list(self.receivers.values()))
         self._end_incarnation()
