Follow the detached backends of the other process during an upgrade

A backend that an operator detached at the old process, after the new one had started, got new work from the new one for good.

Cause: the file of detached backends was read once, when a process starts.

Change: a process with a management endpoint looks each 50 ms whether the file was replaced, and detaches or attaches what another process did; before its own change it does so too. Without a valid file nothing changes. The file's form is the same.

It passes; without the change the other side never follows.

--- a/dockthread/admin/detached_backends.py
+++ b/dockthread/admin/detached_backends.py
@@ -1,4 +1,4 @@
-"""Stores the backends that an operator detached, for the next process after an upgrade.
+"""Stores the backends that an operator detached, for the other process during an upgrade.
 
 The file is in the directory for temporary files and holds a JSON list of backend ids.
 """
@@ -21,17 +21,24 @@
     return Path(os.environ.get("TMPDIR") or tempfile.gettempdir()) / FILE_NAME
 
 
-def load_detached_backends(path: Path) -> list[str]:
-    """Return the ids saved by the previous process; empty if the file is missing or invalid."""
+def file_version(path: Path) -> tuple[int, int] | None:
+    """Return what changes whenever the file is replaced; None if there is no file."""
+    try:
+        status = path.stat()
+    except OSError:
+        return None
+    return status.st_ino, status.st_mtime_ns
+
+
+def load_detached_backends(path: Path) -> list[str] | None:
+    """Return the ids that a process saved; None if the file is missing or invalid."""
     try:
         ids = json.loads(path.read_bytes())
     except (OSError, ValueError):
-        return []
-    return (
-        [backend_id for backend_id in ids if isinstance(backend_id, str)]
-        if isinstance(ids, list)
-        else []
-    )
+        return None
+    if not isinstance(ids, list):
+        return None
+    return [backend_id for backend_id in ids if isinstance(backend_id, str)]
 
 
 def save_detached_backends(path: Path, ids: Iterable[str]) -> None:
--- a/dockthread/admin/ingress_admin.py
+++ b/dockthread/admin/ingress_admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING, Protocol
@@ -10,6 +11,7 @@
 
 from dockthread.admin.detached_backends import (
     detached_backends_path,
+    file_version,
     load_detached_backends,
     save_detached_backends,
 )
@@ -17,10 +19,16 @@
 
 if TYPE_CHECKING:
     from dockthread.admin.commands import Command, Response
+    from dockthread.clock import Clock
     from dockthread.config.ingress_config import IngressConfig
     from dockthread.observer import Traffic
 
 
+# Interval at which changes by the other process are read. It is short against the time within which
+# a backend must be sent nothing new.
+DETACHED_POLL_INTERVAL_MS = 50.0
+
+
 class AdministeredEndpoints(Protocol):
     """The part of an ingress's endpoint list that the commands use."""
 
@@ -68,6 +76,16 @@
         """The endpoint list of the ingress."""
         ...
 
+    @property
+    def clock(self) -> Clock:
+        """The clock of the ingress."""
+        ...
+
+    @property
+    def call_at(self) -> Callable[..., None]:
+        """Calls a function at a time on the clock."""
+        ...
+
     def set_drained(self, uid: str, drained: bool) -> bool:
         """Drain a backend, or let it serve again; return False if it is unknown."""
         ...
@@ -108,7 +126,9 @@
         self.reloads = ReloadCounts()
         self.fleet_handler: FleetCommandHandler | None = None
         self.fleet_error = ""
-        ingress.endpoints.excluded_uids.update(load_detached_backends(self._detached_path))
+        self._file_version = file_version(self._detached_path)
+        self._ids_in_file = set(load_detached_backends(self._detached_path) or ())
+        ingress.endpoints.excluded_uids.update(self._ids_in_file)
 
     @property
     def ready(self) -> bool:
@@ -139,10 +159,40 @@
         """Let a detached backend serve again; return False if it is unknown."""
         return self._set_detached(target, False)
 
+    def follow_detached_backends(self) -> None:
+        """Follow the changes that another process makes, from now on.
+
+        During an upgrade two processes serve beside each other, and operators may call either.
+        """
+        next_ms = self._ingress.clock.now() + DETACHED_POLL_INTERVAL_MS
+        self._ingress.call_at(next_ms, self.follow_detached_backends)
+        self._apply_changes_of_other_process()
+
+    def _apply_changes_of_other_process(self) -> None:
+        version = file_version(self._detached_path)
+        if version == self._file_version:
+            return
+        ids = load_detached_backends(self._detached_path)
+        if ids is None:  # without a valid file all backends stay as they are
+            return
+        self._file_version = version
+        ids_before, self._ids_in_file = self._ids_in_file, set(ids)
+        for uid in sorted(self._ids_in_file - ids_before):
+            if not self._ingress.set_drained(uid, True):  # it is not listed here yet
+                self._ingress.endpoints.excluded_uids.add(uid)
+            logger.info("backend {} detached by an operator at another process", uid)
+        for uid in sorted(ids_before - self._ids_in_file):
+            self._ingress.set_drained(uid, False)
+            logger.info("backend {} attached by an operator at another process", uid)
+
     def _set_detached(self, target: str, detached: bool) -> bool:
+        self._apply_changes_of_other_process()
         if not self._ingress.set_drained(target, detached):
             return False
-        save_detached_backends(self._detached_path, self._ingress.endpoints.excluded_uids)
+        excluded_uids = self._ingress.endpoints.excluded_uids
+        save_detached_backends(self._detached_path, excluded_uids)
+        self._ids_in_file = set(excluded_uids)
+        self._file_version = file_version(self._detached_path)
         logger.info("backend {} {} by an operator", target, "detached" if detached else "attached")
         return True
 
--- a/dockthread/daemon.py
+++ b/dockthread/daemon.py
@@ -190,6 +190,7 @@
 
         self._management_server = ManagementServer(self.admin, self.ingress.config.management)
         self._management_server.open()
+        self.admin.follow_detached_backends()
 
     async def _join_fleet(self) -> None:
         """Join the fleet, if the operator's file has a `[fleet]` section.
--- a/tests/admin/test_management_endpoint.py
+++ b/tests/admin/test_management_endpoint.py
@@ -13,7 +13,7 @@
 from dockthread.config.address import Address
 from dockthread.daemon import Daemon
 from dockthread.policy import BackendState
-from tests.loopback import Backend, config, message, run, running_ingress, target
+from tests.loopback import Backend, Client, config, message, run, running_ingress, target, until
 
 
 @pytest.mark.parametrize(
@@ -99,6 +99,44 @@
     run(scenario())
 
 
+def test_a_backend_detached_at_either_process_of_an_upgrade_is_detached_at_both(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a new process that reads the detached backends only when it starts."""
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    async def scenario() -> None:
+        backends = Backend(), Backend()
+        targets = [target(f"s-{n}", await each.start()) for n, each in enumerate(backends)]
+        endpoint_list = message(1, *targets, full=True)
+        old, new = (
+            Daemon(config(endpoint_list, management="127.0.0.1:0"), None, None) for _ in "on"
+        )
+        tasks = [asyncio.create_task(daemon.run()) for daemon in (old, new)]
+        await until(lambda: old.ingress.ready and new.ingress.ready)
+        for caller, other in ((old, new), (new, old)):
+            assert caller.detach("s-0")
+            while other.ingress.endpoints.excluded_uids != {"s-0"}:
+                await asyncio.sleep(0.005)
+            client = await Client.open(other.ingress.address.port)
+            backends[0].received_commands.clear()
+            for _ in range(30):
+                assert await client.call() == b"value"
+            assert not backends[0].received_commands
+            # Without a valid file everything stays as it is.
+            (tmp_path / "dockthread-held.json").write_text("[")
+            await asyncio.sleep(0.15)
+            assert other.ingress.endpoints.excluded_uids == {"s-0"}
+            assert other.attach("s-0")
+            while caller.ingress.endpoints.excluded_uids:
+                await asyncio.sleep(0.005)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    run(scenario())
+
+
 def test_detached_backends_stay_detached_in_the_next_process(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
