Share the backend that replies on command between the tests of drains and reloads

Cause: five tests of the drain, of reloaded classes and of failing components each wrote the same backend. Change: GatedBackend in tests/net/support.py.

--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -20,7 +20,7 @@
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
 from dockthread.policy import Outcome
-from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, SETTINGS, until
+from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, SETTINGS, Backend, until
 from tests.loopback import command as encode_command
 
 # A deadline in ms that no test reaches, so that it cannot interfere with the rule under test.
@@ -28,6 +28,18 @@
 VALUE_REPLY = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
 
+class GatedBackend(Backend):
+    """A backend that replies only once `may_reply` is set."""
+
+    def __init__(self) -> None:
+        super().__init__(self._reply)
+        self.may_reply = asyncio.Event()
+
+    async def _reply(self, args: list[bytes]) -> bytes | None:
+        await self.may_reply.wait()
+        return VALUE_REPLY
+
+
 async def never_replies(args: list[bytes]) -> bytes | None:
     """Behave like a backend that hangs."""
     await asyncio.Event().wait()
--- a/tests/net/test_drain.py
+++ b/tests/net/test_drain.py
@@ -10,8 +10,8 @@
 from dockthread.clock import ManualClock
 from dockthread.net.ingress import LINGER_MS
 from dockthread.net.lifecycle import Phase
-from tests.loopback import SETTINGS, Backend, request, run, running_ingress, until
-from tests.net.support import VALUE_REPLY, no_free_descriptor, reload_settings, stop_until
+from tests.loopback import SETTINGS, request, run, running_ingress, until
+from tests.net.support import GatedBackend, no_free_descriptor, reload_settings, stop_until
 
 SHORT_DEADLINE_MS = 2_000
 SHORTER_DEADLINES = SETTINGS | {
@@ -27,13 +27,7 @@
     """Guards against a drain that closes requests by deadlines that are newer than the requests."""
 
     async def scenario() -> None:
-        may_reply, clock = asyncio.Event(), ManualClock()
-
-        async def reply_later(args: list[bytes]) -> bytes | None:
-            await may_reply.wait()
-            return VALUE_REPLY
-
-        backend = Backend(reply_later)
+        clock, backend = ManualClock(), GatedBackend()
         async with running_ingress(backend, clock=clock) as (ingress, client, _):
             client.writer.write(request(1, "checkout", d=12_000))
             await until(lambda: backend.received_commands)
@@ -47,7 +41,7 @@
                 ingress.timers.run_due()
                 await asyncio.sleep(0.01)
             assert ingress.client_connection_count == 1
-            may_reply.set()
+            backend.may_reply.set()
             assert await client.answer() == b"value"
             assert await client.answer() is None
             client.writer.close()
@@ -60,13 +54,7 @@
     """Guards against a drain that is shorter than the deadline that came with a request."""
 
     async def scenario() -> None:
-        may_reply, clock = asyncio.Event(), ManualClock()
-
-        async def reply_later(args: list[bytes]) -> bytes | None:
-            await may_reply.wait()
-            return VALUE_REPLY
-
-        backend = Backend(reply_later)
+        clock, backend = ManualClock(), GatedBackend()
         async with running_ingress(backend, clock=clock) as (ingress, client, _):
             client.writer.write(request(1, "checkout", d=60_000))
             await until(lambda: backend.received_commands)
@@ -74,7 +62,7 @@
             clock.advance(30_000)
             ingress.timers.run_due()
             await asyncio.sleep(0.01)
-            may_reply.set()
+            backend.may_reply.set()
             assert await client.answer() == b"value"
 
     run(scenario())
@@ -84,13 +72,7 @@
     """Guards against a drain that ends before the last request got its final answer."""
 
     async def scenario() -> None:
-        clock = ManualClock()
-
-        async def hang(args: list[bytes]) -> bytes | None:
-            await asyncio.Event().wait()
-            return None
-
-        backend = Backend(hang)
+        clock, backend = ManualClock(), GatedBackend()
         async with running_ingress(backend, clock=clock) as (ingress, client, _):
             client.writer.write(request(1, "checkout", d=12_000))
             await until(lambda: backend.received_commands)
@@ -110,13 +92,7 @@
     """Guards against an error of the last accept that ends the process under its requests."""
 
     async def scenario() -> None:
-        may_reply, clock = asyncio.Event(), ManualClock()
-
-        async def reply_later(args: list[bytes]) -> bytes | None:
-            await may_reply.wait()
-            return VALUE_REPLY
-
-        backend = Backend(reply_later)
+        clock, backend = ManualClock(), GatedBackend()
         async with running_ingress(backend, clock=clock) as (ingress, client, _):
             client.writer.write(request(1, "checkout"))
             await until(lambda: backend.received_commands)
@@ -127,7 +103,7 @@
             ):
                 # The event loop has not run since this client connected, so it waits in the queue.
                 await stop_until(ingress, clock, Phase.DRAINING)
-                may_reply.set()
+                backend.may_reply.set()
                 assert await client.answer() == b"value"
 
     run(scenario())
--- a/tests/telemetry/test_reloaded_classes.py
+++ b/tests/telemetry/test_reloaded_classes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import signal
 from pathlib import Path
@@ -27,7 +26,7 @@
     target,
     until,
 )
-from tests.net.support import VALUE_REPLY, reload_settings
+from tests.net.support import GatedBackend, reload_settings
 from tests.telemetry.support import (
     PLANS,
     ingress_launcher,
@@ -107,13 +106,7 @@
     """Guards against a count that judges a request by an objective that is newer than it."""
 
     async def scenario() -> None:
-        may_reply, clock = asyncio.Event(), ManualClock()
-
-        async def reply_later(args: list[bytes]) -> bytes | None:
-            await may_reply.wait()
-            return VALUE_REPLY
-
-        backend = Backend(reply_later)
+        clock, backend = ManualClock(), GatedBackend()
         async with (
             running_stand_in(tmp_path, "plaintext") as (stand_in, _),
             running_ingress(backend, clock=clock) as (ingress, client, _),
@@ -126,7 +119,7 @@
             reload_settings(ingress, SETTINGS | {"Classes": [STATUS_CLASS, checkout]})
             # The request arrived with an objective of 3 s.
             clock.advance(1_000 if not late else 3_500)
-            may_reply.set()
+            backend.may_reply.set()
             assert await client.answer() == b"value"
             assert exporter.tally is not None
             exporter.tally.flush()
--- a/tests/test_daemon_failures.py
+++ b/tests/test_daemon_failures.py
@@ -25,7 +25,7 @@
     target,
     until,
 )
-from tests.net.support import VALUE_REPLY
+from tests.net.support import GatedBackend
 
 COMPONENTS = ("resource_applier", "_maintenance", "_management_server", "_exporter")
 
@@ -77,13 +77,7 @@
     """Guards against a component whose failure keeps SIGTERM or a later component from its turn."""
 
     async def scenario() -> None:
-        may_reply = asyncio.Event()
-
-        async def reply_later(args: list[bytes]) -> bytes | None:
-            await may_reply.wait()
-            return VALUE_REPLY
-
-        backend = Backend(reply_later)
+        backend = GatedBackend()
         async with running_daemon(backend, tmp_path, monkeypatch) as (daemon, client, task):
             components = {name: FailingComponent() for name in COMPONENTS}
             for name, component in components.items():
@@ -92,7 +86,7 @@
             await until(lambda: backend.received_commands)
             daemon.stop()
             await until(lambda: daemon.ingress.draining)
-            may_reply.set()
+            backend.may_reply.set()
             assert await client.answer() == b"value"
             assert await client.answer() is None
             client.writer.close()
