Let the crowd of a descriptor test be older than the idle bound before its client

Cause, in the test: the plain `BUSY` comes only from a connection beyond the descriptor budget (client_commands.py). An idle client may be evicted for a new one after 100 ms; where the whole crowd was accepted within the 100 ms before the client came, none could be, and the refusal was right.

Change: the client comes once the last of the crowd has had a response and 150 ms have passed, well before the crowd's 1.5 s. Nothing else of the test is looser; the counter's commands must now be at least one, of one kind.

--- a/tests/net/test_discovery_processes.py
+++ b/tests/net/test_discovery_processes.py
@@ -13,12 +13,14 @@
 
 import pytest
 
+from dockthread.net.listener import MIN_IDLE_MS
 from tests.loopback import (
     EMPTY_ENDPOINT_LIST,
     PROCESS_LIMITS,
     SETTINGS,
     Backend,
     Client,
+    command,
     message,
     raw_config,
     run,
@@ -123,12 +125,15 @@
                 socket.create_connection(("127.0.0.1", port)) for _ in range(2 * MAX_SOCKETS)
             ]
             await until(lambda: len(os.listdir(f"/proc/{process.pid}/fd")) > MAX_SOCKETS // 2)
+            # An idle client is not evicted in its first 100 ms. The response to the last one shows
+            # that all have been accepted; their idle time ends only after 1.5 s.
+            idle_clients[-1].sendall(command(b"PING"))
+            assert await asyncio.to_thread(idle_clients[-1].recv, 100)
+            await asyncio.sleep(1.5 * MIN_IDLE_MS / 1000.0)
             client = await Client.open(port)
             assert await asyncio.wait_for(client.call(), 4) == b"value"
             await until(lambda: counter_server.received_commands)
-            assert [command[0] for command in counter_server.received_commands] == [
-                b"CNT.ADD"
-            ] * len(counter_server.received_commands)
+            assert {args[0] for args in counter_server.received_commands} == {b"CNT.ADD"}
             for sock in idle_clients:
                 sock.close()
 
