--- /dev/null
+++ b/dockthread/lab/soak/clients.py
@@ -0,0 +1,243 @@
+"""Clients of a soak: sound ones that keep the protocol, and ones that do harm."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from contextlib import suppress
+
+from dockthread.lab.soak.journal import Ending, Journal, RequestRecord
+
+READ_BYTES = 64 * 1024
+SLOW_READ_BYTES = 16 * 1024
+SMALL_BUFFER_BYTES = 16 * 1024
+LINE_LIMIT = 256 * 1024
+# How long a client waits beyond its time to see whether an answer comes at all.
+PATIENCE_S = 2.0
+MAX_STREAM_S = 30.0  # Longest time for the rest of an answer that has begun.
+WRITE_PIECES = 8
+
+
+def encode_command(*arguments: bytes) -> bytes:
+    """Return an array of bulk strings."""
+    parts = [b"*%d\r\n" % len(arguments)]
+    parts += [b"$%d\r\n%b\r\n" % (len(argument), argument) for argument in arguments]
+    return b"".join(parts)
+
+
+def encode_request(record: RequestRecord, customer: int, plan: str = "large") -> bytes:
+    """Return the command of a request."""
+    name = "write" if record.is_unsafe else "read"
+    terms = f"c={name},t={plan},d={round(record.deadline_s * 1000)},units=1,spread=1,first=0"
+    verb = b"API.WRITE" if record.is_unsafe else b"API.READ"
+    arguments = [verb, b"%016x" % customer, record.wire_id.encode(), terms.encode()]
+    if record.body_bytes:
+        arguments.append(b"b" * record.body_bytes)
+    return encode_command(*arguments)
+
+
+class SoundClient:
+    """Sends one request on a connection of its own, and reads its answer.
+
+    `write_s` is the time over which it writes, `read_rate` the bytes per second that it reads; 0
+    for at once.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        journal: Journal,
+        write_s: float = 0.0,
+        read_rate: float = 0.0,
+        leaves_after_s: float | None = None,
+    ) -> None:
+        self._address = address
+        self._journal = journal
+        self._write_s = write_s
+        self._read_rate = read_rate
+        self._leaves_after_s = leaves_after_s
+
+    async def ask(self, record: RequestRecord, customer: int) -> RequestRecord:
+        """Send a request and record how it ended."""
+        self._journal.add(record)
+        try:
+            reader, writer = await self._connect()
+        except OSError as error:
+            record.ending, record.detail = Ending.UNREACHABLE, type(error).__name__
+            return record
+        reading = asyncio.create_task(self._read_answer(reader, record))
+        try:
+            await self._write(writer, encode_request(record, customer), reading)
+            record.written_at = record.written_at or time.monotonic()
+            if self._leaves_after_s is not None:
+                await asyncio.sleep(self._leaves_after_s)
+                if not reading.done():
+                    record.ending, record.left_at = Ending.LEFT, time.monotonic()
+                    return record
+            async with asyncio.timeout(record.deadline_s + PATIENCE_S):
+                while not reading.done() and record.first_byte_at is None:
+                    await asyncio.sleep(0.005)
+            async with asyncio.timeout(MAX_STREAM_S):
+                await reading
+        except TimeoutError:
+            record.detail = record.detail or "client gave up waiting"
+        except OSError as error:
+            record.detail = type(error).__name__
+            with suppress(TimeoutError, OSError):
+                await asyncio.wait_for(reading, 1.0)
+        finally:
+            reading.cancel()
+            writer.transport.abort() if self._leaves_after_s is None else writer.close()
+        return record
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        sock = socket.socket()
+        sock.setblocking(False)
+        if self._read_rate:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        try:
+            await asyncio.get_running_loop().sock_connect(sock, self._address)
+        except OSError:
+            sock.close()
+            raise
+        return await asyncio.open_connection(sock=sock, limit=LINE_LIMIT)
+
+    async def _write(
+        self, writer: asyncio.StreamWriter, data: bytes, reading: asyncio.Task[None]
+    ) -> None:
+        """Write a command over `write_s`; stop at an early answer."""
+        if not self._write_s:
+            writer.write(data)
+        else:
+            piece = max(1, len(data) // WRITE_PIECES)
+            for at in range(0, len(data), piece):
+                if reading.done():
+                    return
+                writer.write(data[at : at + piece])
+                await writer.drain()
+                if at + piece < len(data):
+                    await asyncio.sleep(self._write_s / WRITE_PIECES)
+        drain = asyncio.create_task(writer.drain())
+        await asyncio.wait((drain, reading), return_when=asyncio.FIRST_COMPLETED)
+        while writer.transport.get_write_buffer_size() and not reading.done():
+            await asyncio.sleep(0.002)
+        drain.cancel()
+
+    async def _read_answer(self, reader: asyncio.StreamReader, record: RequestRecord) -> None:
+        head = b""
+        received = 0
+        try:
+            head = await reader.read(1)
+            record.first_byte_at = time.monotonic() if head else None
+            head += await reader.readline() if head else b""
+            if not head.endswith(b"\r\n"):
+                record.ending = Ending.CUT if head else Ending.CLOSED
+                return
+            if not head.startswith(b"$"):
+                record.ending = Ending.REJECTED if head.startswith(b"-BUSY") else Ending.FAILED
+                record.detail = head.decode().strip()
+                return
+            size = int(head[1:])
+            value = bytearray()
+            while received < size + 2:
+                wanted = SLOW_READ_BYTES if self._read_rate else READ_BYTES
+                part = await reader.read(min(wanted, size + 2 - received))
+                if not part:
+                    record.ending, record.detail = Ending.CUT, f"{received} of {size} bytes"
+                    return
+                received += len(part)
+                value += part
+                if self._read_rate:
+                    await asyncio.sleep(len(part) / self._read_rate)
+            if bytes(value) != record.value() + b"\r\n":
+                self._journal.violations.append(f"foreign answer for {record.wire_id}")
+            record.ending = Ending.SERVED
+        except OSError as error:
+            record.ending = Ending.CUT if received or head else Ending.CLOSED
+            record.detail = f"{type(error).__name__} after {received} bytes"
+        finally:
+            record.ended_at = time.monotonic()
+
+
+class Flood:
+    """One client that sends commands on one connection at full speed, and reads all answers."""
+
+    def __init__(self, address: tuple[str, int], kind: str, seed: int) -> None:
+        self._address = address
+        self._kind = kind
+        self._random = random.Random(seed)
+        self._count = 0
+        self.sent = 0
+
+    async def run(self, duration_s: float) -> None:
+        """Send until `duration_s` is over; connect anew when the connection is closed."""
+        ends_at = time.monotonic() + duration_s
+        while time.monotonic() < ends_at:
+            try:
+                reader, writer = await asyncio.open_connection(*self._address)
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            reading = asyncio.create_task(_discard(reader))
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout_at(asyncio.get_running_loop().time() + duration_s):
+                    while time.monotonic() < ends_at and not reading.done():
+                        writer.write(self._batch())
+                        await writer.drain()
+            reading.cancel()
+            writer.transport.abort()
+
+    def _batch(self) -> bytes:
+        batch = 24
+        self.sent += batch
+        return b"".join(self._command() for _ in range(batch))
+
+    def _command(self) -> bytes:
+        self._count += 1
+        if self._kind == "ping":
+            return encode_command(b"PING")
+        if self._kind == "unsound":
+            return encode_command(b"API.READ", b"0" * 16, b"x", b"c=none")
+        customer = self._random.randrange(1 << 32) if self._kind == "names" else 7
+        wire_id = self._random.randrange(1 << 64)
+        terms = b"c=read,t=small,d=500,units=1,spread=1,first=0"
+        return encode_command(b"API.READ", b"%016x" % customer, b"%016x" % wire_id, terms)
+
+
+async def _discard(reader: asyncio.StreamReader) -> None:
+    with suppress(OSError):
+        while await reader.read(READ_BYTES):
+            pass
+
+
+async def hold_part(address: tuple[str, int], data: bytes, seconds: float) -> None:
+    """Send `data`, the first part of a command, and wait for a close for at most `seconds`."""
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return
+    with suppress(OSError, TimeoutError):
+        writer.write(data)
+        await asyncio.wait_for(_discard(reader), seconds)
+    writer.transport.abort()
+
+
+async def send_and_leave(
+    address: tuple[str, int], journal: Journal, records: list[RequestRecord], customer: int
+) -> None:
+    """Send many requests at once and close at once, without reading an answer."""
+    for record in records:
+        journal.add(record)
+    try:
+        _, writer = await asyncio.open_connection(*address)
+    except OSError:
+        return
+    with suppress(OSError):
+        writer.write(b"".join(encode_request(record, customer) for record in records))
+        await writer.drain()
+    left_at = time.monotonic()
+    writer.close()
+    for record in records:
+        record.ending, record.left_at = Ending.LEFT, left_at
