Keep OpenSSL out of the ingress process, which never speaks TLS

Need: the platform gives a process 32 MB at the least, and an ingress that serves nothing yet held 29.2 MiB of them (VmHWM, example/config.json). 4.4 MiB of it was OpenSSL and the module ssl, which asyncio and uvloop import but use for TLS connections only.

Change: the daemon installs a stub of the module ssl before asyncio is imported.

--- a/dockthread/__main__.py
+++ b/dockthread/__main__.py
@@ -13,6 +13,9 @@
     if len(sys.argv) < 2:
         # The command-line modules are not imported here, because the daemon does not need them
         # and would start more slowly.
+        from dockthread.tls_stub import install_tls_stub
+
+        install_tls_stub()
         from dockthread.daemon import serve
 
         return serve()
