Soak: flood from a process of its own, and measure how late the soak itself is

Change: the flood is a process; the soak records when its own loop is late, and the checker adds that to what it allows for attempts after a client left and for late answers. A value that its client reads slowly is timed by its first byte, and a rejected request whose id another client sends again is not held to have run.

--- a/dockthread/lab/soak/journal.py
+++ b/dockthread/lab/soak/journal.py
@@ -69,6 +69,8 @@
         left_at: When its client closed the connection before the answer.
         is_expendable: Whether its client opened a connection into a crowd, where new connections
             may be closed unread.
+        is_read_slowly: Whether its client reads the answer slowly.
+        is_repeated: Whether another client sends a request with the same id.
     """
 
     wire_id: str
@@ -84,6 +86,8 @@
     ended_at: float | None = None
     left_at: float | None = None
     is_expendable: bool = False
+    is_read_slowly: bool = False
+    is_repeated: bool = False
     ending: Ending = Ending.MISSING
     detail: str = ""
     runs: list[BackendRun] = field(default_factory=list)
@@ -105,6 +109,13 @@
         self.requests: dict[str, RequestRecord] = {}
         self.violations: list[str] = []
         self.started_at = time.monotonic()
+        self.lags: list[tuple[float, float]] = []  # when the event loop was late, and by how much
+
+    def lag_s(self, begins_at: float, ends_at: float) -> float:
+        """Return how late the soak's own event loop was at most between two times."""
+        return max(
+            (lag for at, lag in self.lags if begins_at <= at and at - lag <= ends_at), default=0.0
+        )
 
     def add(self, record: RequestRecord) -> RequestRecord:
         """Add a request."""
