--- a/dockthread/daemon.py
+++ b/dockthread/daemon.py
@@ -111,7 +111,7 @@
             SettingsError: A component configured in the operator's file cannot be started.
             OSError: An address cannot be bound.
         """
-        tune_garbage_collector()
+        tune_garbage_collector(self.ingress.config.memory_mb)
         self._open_management_server()
         await self._join_fleet()
         self.subscribe_to_control_plane()
--- a/dockthread/net/action_executor.py
+++ b/dockthread/net/action_executor.py
@@ -11,7 +11,7 @@
 from dockthread.net.context import IngressContext
 from dockthread.net.gossip_transport import GossipTransport
 from dockthread.net.quota_counter import QuotaCounterClient
-from dockthread.net.request import Request
+from dockthread.net.request import Request, RequestState
 from dockthread.net.requests_in_flight import RequestTable
 from dockthread.observer import FAILED, REJECTED, Observer
 from dockthread.policy import (
@@ -81,6 +81,7 @@
             now,
             deadline_ms,
             action.start_deadline * 1000.0,
+            request.connection,
         )
         self._traffic.attempts_started += 1
         self._traffic.hedges_started += request.attempts_in_flight > 0
@@ -90,7 +91,10 @@
             self._trace_attempt_sent(request, attempt)
         if deadline_ms < request.deadline_ms - DEADLINE_TOLERANCE_MS:
             self._call_at(deadline_ms, self._pool.end, attempt, Outcome.TIMEOUT)
-        if request.is_finished:
+        if request.state is not RequestState.IN_FLIGHT:
+            self._pool.end(attempt, Outcome.NOT_SENT)
+        elif request.connection.has_disconnected():
+            request.connection.close_soon()
             self._pool.end(attempt, Outcome.NOT_SENT)
         else:
             self._pool.start(attempt)
@@ -106,7 +110,7 @@
 
     def _reject(self, action: Reject) -> None:
         request = self._requests.by_number.get(action.request)
-        if request is None or request.is_finished:
+        if request is None or request.state is not RequestState.IN_FLIGHT:
             return
         max_retry_after_ms = self._requests.limits.max_retry_after_ms
         response = resp.encode_busy(min(action.retry_after * 1000.0, max_retry_after_ms))
@@ -115,7 +119,7 @@
 
     def _fail(self, action: Fail) -> None:
         request = self._requests.by_number.get(action.request)
-        if request is None or request.is_finished:
+        if request is None or request.state is not RequestState.IN_FLIGHT:
             return
         self._requests.respond(request, resp.FAILED, FAILED, request.last_outcome)
 
--- a/dockthread/net/backend_connection.py
+++ b/dockthread/net/backend_connection.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from math import inf
 
+from dockthread.net.connection_host import RequestSource
 from dockthread.net.endpoint_list import BackendRecord
 from dockthread.net.resp import RequestCommand
 from dockthread.policy import Outcome
@@ -31,8 +32,12 @@
     started_ms: float
     deadline_ms: float
     start_deadline_ms: float = inf
+    source: RequestSource | None = None  # the client's connection; None if there is none
     has_started: bool = False  # the first byte may have been sent; counts as forwarded
-    is_written: bool = False  # the last byte has been sent, so the backend may run it
+    may_have_run: bool = False  # the last byte may have been sent, so the backend may run it
+    is_written: bool = False  # the last byte has been sent
+    response_started_ms: float | None = None  # since when its value is being passed on
+    is_response_complete: bool = False  # its value was passed on whole
     outcome: Outcome | None = None  # None while the attempt is in flight
     connection: BackendConnection | None = None
 
@@ -62,6 +67,7 @@
         "idle_since_ms",
         "reused",
         "sock",
+        "stalled_since_ms",
         "state",
         "task",
     )
@@ -75,6 +81,8 @@
         self.state = BackendConnectionState.CONNECTING
         self.attempt: Attempt | None = attempt  # None while the connection is idle
         self.idle_since_ms = 0.0
+        # Since when the rest of a reply that has begun is awaited, or None.
+        self.stalled_since_ms: float | None = None
         self.reused: asyncio.Future[None] | None = None  # done when an idle connection is reused
         self.task: asyncio.Task[None] | None = None
 
--- a/dockthread/net/client_commands.py
+++ b/dockthread/net/client_commands.py
@@ -5,7 +5,6 @@
 from dockthread.net import resp
 from dockthread.net.connection_host import ConnectionHost, RequestSource, ResponseSlot
 
-REQUEST_VERBS = (b"API.READ", b"API.WRITE")
 # Client libraries send these after connecting. They are answered with OK and have no effect.
 IGNORED_VERBS = (b"CLIENT", b"SELECT")
 
@@ -25,23 +24,24 @@
         self.invalid_commands = 0  # number of commands that could not be served
         self.stops_serving = False  # no further command is to be served
 
-    def handle(self, connection: RequestSource, message: object) -> ResponseSlot:
-        """Handle a complete command and return the slot for its response.
-
-        Raises:
-            ProtocolError: The message is not an array of bulk strings.
-        """
-        if not isinstance(message, list) or not all(type(part) is bytes for part in message):
-            raise resp.ProtocolError("a command is an array of bulk strings")
+    def handle(self, connection: RequestSource, message: list[bytes]) -> ResponseSlot:
+        """Handle a complete command and return the slot for its response."""
         verb = message[0].upper()
-        if verb in REQUEST_VERBS:
-            return self._handle_request(connection, message)
+        if verb in resp.REQUEST_VERBS:
+            command = self.check_request(message)
+            if isinstance(command, ResponseSlot):
+                return command
+            return self._host.requests.accept(connection, command)
         if verb == b"QUIT":
             self.stops_serving = True
             return ResponseSlot(resp.OK)
         return self._handle_other(verb, message)
 
-    def _handle_request(self, connection: RequestSource, arguments: list[bytes]) -> ResponseSlot:
+    def check_request(self, arguments: list[bytes]) -> resp.RequestCommand | ResponseSlot:
+        """Return a request to be accepted, or the response to one that cannot be.
+
+        `arguments` may lack the body, which may follow.
+        """
         host = self._host
         try:
             command = host.request_parser.parse(arguments)
@@ -50,11 +50,7 @@
         if self._is_surplus:
             self.stops_serving = True
             return host.requests.respond_without_policy(command, "surplus", resp.BUSY)
-        if host.requests.is_in_flight(command.wire_id):
-            self.invalid_commands += 1
-            response = resp.encode_error("this id is open already")
-            return host.requests.respond_without_policy(command, "duplicate", response)
-        return host.requests.accept(connection, command)
+        return command
 
     def _handle_other(self, verb: bytes, arguments: list[bytes]) -> ResponseSlot:
         if verb == b"PING":
--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -6,16 +6,16 @@
 `MAX_DISCARDED_BYTES`; then the socket is closed. Closing a socket with unread input would reset the
 connection and could destroy a response that the client has not read yet.
 
-Responses are sent immediately. Bytes that the socket buffer does not accept are sent by a separate
-writer task, so the reader task keeps reading and notices a client's close even while responses are
-still unsent.
+A connection holds little: a small read buffer and at most one incomplete command. Commands are read
+only as they are served, and are not served while responses are unsent or the client sends faster
+than `CommandPacer` allows. What is not read waits in the socket, so the client is slowed down by
+the system's flow control. A close behind unread input shows in the state of the connection.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
@@ -23,22 +23,28 @@
 from loguru import logger
 
 from dockthread.net import resp
+from dockthread.net.body_reader import BodyCancelledError, BodyReader
 from dockthread.net.client_commands import CommandHandler
-from dockthread.net.connection_host import ConnectionHost, ResponseSlot
-
-READ_BYTES = 8 * 1024  # Maximum size of one read from a client.
-MAX_UNSENT_BYTES = 1024 * 1024  # Maximum size of the responses that a client has not read.
+from dockthread.net.command_pacer import CommandPacer
+from dockthread.net.connection_host import ConnectionHost
+from dockthread.net.input_clock import InputClock
+from dockthread.net.peer_state import has_peer_closed
+from dockthread.net.response_queue import ResponseQueue, ResponseSlot, ResponseStream
+
+READ_BYTES = 1024  # Size of a connection's own read buffer; most reads are a single command.
+# Size of a second read if the first one filled the buffer.
+LONG_READ_BYTES = 3 * 1024
 COMMANDS_PER_TURN = 8  # Commands served on one connection before other tasks run.
 MAX_PENDING_COMMANDS = 128  # Maximum number of commands without a response on one connection.
 MAX_INVALID_COMMANDS = 16  # Maximum number of invalid commands on one connection.
-# While commands wait to be served, up to this much more input is read, so that a close by the
-# client is noticed.
-MAX_READ_AHEAD_BYTES = 64 * 1024
+# With more unsent bytes, no further command is served until the client has read them.
+MAX_UNSENT_BYTES = 16 * 1024
+# Time between two checks for a close while the connection is not read.
+CLOSE_CHECK_S = 0.05
 
 FIRST_COMMAND_TIMEOUT_MS = 1_500.0  # Time for a new connection to send its first command.
 # Time to complete a command that has begun: a slow client takes 2 s to send the head of one.
 COMMAND_TIMEOUT_MS = 3_000.0
-WRITE_TIMEOUT_MS = 5_000.0  # Time for a client to read a response.
 
 CLOSE_TIMEOUT_MS = 1_000.0  # Time for a client to close after the sending side was shut down.
 # Maximum input discarded after the last command. A client that sends more is disconnected, unless
@@ -51,9 +57,9 @@
 FLOOD_PAUSE_S = 0.03  # Pause between reads from a client that is flooding.
 # Maximum number of consecutive reads of discarded input. They cover 16 MiB, more than the socket
 # buffers of both machines hold, so a close behind the buffered input is noticed.
-MAX_CONSECUTIVE_DISCARDS = 64
+MAX_CONSECUTIVE_DISCARDS = 256
 
-_discard_buffer = bytearray(256 * 1024)  # Shared by all connections; its content is never used.
+_discard_buffer = bytearray(64 * 1024)  # Shared by all connections; its content is never used.
 
 
 class ClientConnectionState(Enum):
@@ -69,11 +75,32 @@
     """One client connection, and the task that reads from it while it is open.
 
     `on_closed` is called when the socket has been closed. Times are in milliseconds on the
-    ingress's clock. `earliest_arrival_ms` is a lower bound on the time at which the bytes read last
-    arrived; before the first read it bounds the arrival of the connection itself. `is_surplus`
-    marks a connection beyond the descriptor budget, which is closed after one rejection.
+    ingress's clock. `is_surplus` marks a connection beyond the descriptor budget, which is closed
+    after one rejection.
     """
 
+    __slots__ = (
+        "__weakref__",
+        "_body",
+        "_close_deadline_ms",
+        "_commands",
+        "_discarded_bytes",
+        "_host",
+        "_input",
+        "_loop",
+        "_on_closed",
+        "_pacer",
+        "_reader",
+        "_reading",
+        "_responses",
+        "_state",
+        "command_started_ms",
+        "commands_read",
+        "is_surplus",
+        "last_read_ms",
+        "sock",
+    )
+
     def __init__(
         self,
         host: ConnectionHost,
@@ -90,28 +117,26 @@
         self._close_deadline_ms: float | None = None  # set when the connection is half closed
         self.is_surplus = is_surplus
 
-        self._parser = resp.new_parser()
-        self._guard = resp.command_guard()
+        now = host.clock.now()
+        self._reader = resp.CommandReader()
         self._commands = CommandHandler(host, is_surplus)
+        self._pacer = CommandPacer(self._loop.time())
+        self._input = InputClock(host.event_loop_lag, earliest_arrival_ms)
+        self._body: BodyReader | None = None  # set while the body of a request is being read
         self.commands_read = 0
-        self._read_ahead_bytes = 0
         self._discarded_bytes = 0
-        self.last_read_ms = host.clock.now()
+        self.last_read_ms = now
         # Start of the current or latest command, or of the connection before the first command.
-        self.command_started_ms = self.last_read_ms
-        self.earliest_arrival_ms = earliest_arrival_ms
-        # Lower bound on the time at which the last read left the receive buffer empty.
-        self._input_drained_ms = earliest_arrival_ms
-        self._heartbeat_before_wait_ms = host.event_loop_lag.last_heartbeat_ms
-
-        self._pending: deque[ResponseSlot] = deque()
-        self._unsent: list[bytes] = []
-        self._unsent_bytes = 0
-        self._writer: asyncio.Task[None] | None = None
-        self._write_started_ms = 0.0
+        self.command_started_ms = now
+        self._responses = ResponseQueue(self, sock, host.clock, host.traffic)
 
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._reader: asyncio.Task[None] | None = self._loop.create_task(self._run())
+        self._reading: asyncio.Task[None] | None = self._loop.create_task(self._run())
+
+    @property
+    def earliest_arrival_ms(self) -> float:
+        """A lower bound on the arrival of the bytes read last, or of the connection itself."""
+        return self._input.earliest_arrival_ms
 
     @property
     def is_idle(self) -> bool:
@@ -120,13 +145,23 @@
         A connection with an incomplete command is idle too; otherwise clients that never complete
         one could occupy all descriptors.
         """
-        return not (self._pending or self._unsent or self._writer)
+        return self._responses.is_empty
 
     @property
     def is_mid_command(self) -> bool:
         """Whether a command has been received only in part."""
         is_open = self._state is ClientConnectionState.OPEN
-        return is_open and not self._guard.is_between_messages
+        return is_open and (self.is_reading_body or not self._reader.is_between_commands)
+
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether the body of a request is being read."""
+        return self._body is not None
+
+    @property
+    def is_streaming(self) -> bool:
+        """Whether a long response is being passed on."""
+        return self._responses.is_streaming
 
     @property
     def is_ending(self) -> bool:
@@ -140,30 +175,40 @@
         except OSError:
             return False
 
+    def has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection, even if input is unread."""
+        return self._state is ClientConnectionState.CLOSED or has_peer_closed(self.sock)
+
     # Ending
 
     def enforce_timeouts(self, now: float) -> None:
-        """End the connection if its client has exceeded a timeout."""
+        """End the connection if its client has left or has exceeded a timeout."""
         if self._close_deadline_ms is not None:
             if self._close_deadline_ms < now:
                 self.close()
             return
-        if self._writer is not None and now - self._write_started_ms > WRITE_TIMEOUT_MS:
+        if self._responses.is_stalled(now) or (not self.is_idle and self.has_disconnected()):
             self.close()
             return
         is_mid_command = self.is_mid_command
         if self.commands_read and not is_mid_command:
             return
         timeout_ms = COMMAND_TIMEOUT_MS if is_mid_command else FIRST_COMMAND_TIMEOUT_MS
+        started_ms = self.command_started_ms
+        if self._body is not None:
+            started_ms = self._body.waiting_since_ms
         if self.has_input():  # the ingress itself is late: the awaited command may be unread
             timeout_ms *= 2
-        if now - self.command_started_ms <= timeout_ms:
+        if now - started_ms <= timeout_ms:
             return
-        if is_mid_command:
-            self._finish_with(resp.COMMAND_TIMEOUT)
-            self.flush()
-        else:
+        if not is_mid_command:
             self.end_gracefully()
+            return
+        if self._body is None or not self._body.is_rejected:
+            self._responses.append(ResponseSlot(resp.COMMAND_TIMEOUT))
+        self._stop_reading_body()
+        self._finish()
+        self.flush()
 
     def end_gracefully(self) -> None:
         """Shut down the sending side, and leave it to the client to close the connection.
@@ -173,6 +218,10 @@
         """
         if self._state is ClientConnectionState.CLOSED or not self.is_idle or self.is_ending:
             return
+        self._stop_reading_body()
+        self._half_close()
+
+    def _half_close(self) -> None:
         self._state = ClientConnectionState.HALF_CLOSED
         self._close_deadline_ms = self._host.clock.now() + CLOSE_TIMEOUT_MS
         try:
@@ -180,6 +229,18 @@
         except OSError:
             self.close()
 
+    def abort_response(self) -> None:
+        """End the connection within a response, so that the client can tell it is not whole.
+
+        Responses to later commands cannot be sent, because nothing marks where they would begin.
+        """
+        if self._state is ClientConnectionState.CLOSED or self.is_ending:
+            return
+        self._stop_reading_body()
+        unanswered = self._responses.close()
+        self._half_close()
+        self._abandon(unanswered)
+
     def close(self) -> None:
         """Close the socket immediately: the client has disconnected or exceeded a timeout."""
         if self._state is ClientConnectionState.CLOSED:
@@ -190,90 +251,59 @@
         # A cancelled task references its traceback, whose frames reference this connection and its
         # buffer. Dropping the tasks breaks the cycle, so the memory is freed without waiting for
         # the garbage collector.
-        for task in (self._reader, self._writer):
-            if task is not None:
-                task.cancel()
-        self._reader = None
-        self._writer = None
+        if self._reading is not None:
+            self._reading.cancel()
+        self._reading = None
+        self._stop_reading_body()
+        self._abandon(self._responses.close())
         self.sock.close()
-        pending = self._pending
-        self._pending = deque()
-        for slot in pending:
-            if slot.response is None:
-                self._host.requests.on_client_disconnected(slot)
         self._on_closed(self)
 
-    def _finish_with(self, response: bytes) -> None:
-        """Append a final response; no further command is served."""
-        self._finish()
-        self._pending.append(ResponseSlot(response))
+    def close_soon(self) -> None:
+        """Close the connection in a later iteration of the event loop.
+
+        Closing ends requests, which actions of a policy decision that are still to be executed may
+        refer to.
+        """
+        self._loop.call_soon(self.close)
+
+    def _abandon(self, unanswered: list[ResponseSlot]) -> None:
+        for slot in unanswered:
+            self._host.requests.on_client_disconnected(slot)
+
+    def _stop_reading_body(self) -> None:
+        body, self._body = self._body, None
+        if body is not None:
+            body.cancel()
 
     def _finish(self) -> None:
+        """Serve no further command."""
         if self._state is ClientConnectionState.OPEN:
             self._state = ClientConnectionState.FINISHING
 
-    # Writing
+    def _finish_with(self, response: bytes) -> None:
+        """Append a final response; no further command is served."""
+        self._finish()
+        self._responses.append(ResponseSlot(response))
+
+    # Responses
 
     def flush(self) -> None:
-        """Send all responses up to the first one that is not known yet.
+        """Send all responses up to the first one that is not known yet."""
+        self._responses.flush()
 
-        If the connection turns out to be broken, it is closed in a later iteration of the event
-        loop: this method may run while the actions of a policy decision are being executed, and
-        closing would end requests that the remaining actions refer to.
-        """
-        if not self._collect_responses() or self._writer is not None:
-            return
-        data = b"".join(self._unsent)
-        try:
-            sent = self.sock.send(data)
-        except (BlockingIOError, InterruptedError):
-            sent = 0
-        except OSError:
-            self._loop.call_soon(self.close)
-            return
-        self._host.traffic.client_bytes_out += sent
-        self._unsent_bytes -= sent
-        self._unsent.clear()
-        if sent < len(data):
-            self._unsent.append(data[sent:])
-            self._write_started_ms = self._host.clock.now()
-            self._writer = self._loop.create_task(self._write())
-        elif not self._pending and (
-            self._state is not ClientConnectionState.OPEN or self._host.draining
-        ):
-            self.end_gracefully()  # nothing is pending, so this ends no request
+    def open_stream(self, slot: ResponseSlot) -> ResponseStream:
+        """Begin to pass on a response in parts."""
+        return ResponseStream(self._responses, slot)
 
-    def _collect_responses(self) -> bool:
-        """Move responses that are due to the unsent ones; return whether there is data to send."""
-        pending = self._pending
-        while pending and (response := pending[0].response) is not None:
-            pending.popleft()
-            self._unsent.append(response)
-            self._unsent_bytes += len(response)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
-            logger.debug("client does not read its responses; closing the connection")
-            self._loop.call_soon(self.close)
-            return False
-        return bool(self._unsent)
+    def on_send_failed(self) -> None:
+        """Close the broken connection."""
+        self.close_soon()
 
-    async def _write(self) -> None:
-        """Send the data that the socket buffer did not accept immediately."""
-        try:
-            while self._unsent:
-                data = b"".join(self._unsent)
-                self._unsent.clear()
-                self._host.traffic.client_bytes_out += len(data)
-                await self._loop.sock_sendall(self.sock, data)
-                self._unsent_bytes -= len(data)
-                self._write_started_ms = self._host.clock.now()
-        except OSError:
-            self._writer = None
-            self.close()
-            return
-        self._writer = None
-        is_open = self._state is ClientConnectionState.OPEN
-        if not self._pending and (not is_open or self._host.draining):
-            self.end_gracefully()
+    def on_all_sent(self) -> None:
+        """End the connection if no further command will be served."""
+        if self._state is not ClientConnectionState.OPEN or self._host.draining:
+            self.end_gracefully()  # nothing is pending, so this ends no request
 
     # Reading
 
@@ -281,91 +311,123 @@
         """Read until the client closes the connection or exceeds a limit."""
         buffer = bytearray(READ_BYTES)
         try:
-            while size := await self._loop.sock_recv_into(
-                self.sock, buffer if self._state is ClientConnectionState.OPEN else _discard_buffer
-            ):
+            while self._state is ClientConnectionState.OPEN:
+                size = await self._loop.sock_recv_into(self.sock, buffer)
+                if not size:
+                    break
                 if self._state is not ClientConnectionState.OPEN:
-                    if not await self._discard(size):
-                        break
-                    continue
-                self._host.traffic.client_bytes_in += size
-                self._feed(bytes(buffer[:size]))
-                has_more = True
-                while has_more:
-                    has_more = self._serve_commands()
-                    self.flush()
-                    if self._reader is None:  # the connection was closed in the meantime
-                        return
-                    if has_more:
-                        await asyncio.sleep(0)
-                        if not self._read_ahead():
-                            self.close()
-                            return
-                self._read_ahead_bytes = 0
-                self._heartbeat_before_wait_ms = self._host.event_loop_lag.last_heartbeat_ms
+                    self._discarded_bytes += size
+                    break
+                self._on_input(bytes(buffer[:size]))
+                await self._serve_commands()
+            while self._state in (
+                ClientConnectionState.FINISHING,
+                ClientConnectionState.HALF_CLOSED,
+            ):
+                size = await self._loop.sock_recv_into(self.sock, _discard_buffer)
+                if not size or not await self._discard(size):
+                    break
         except OSError:
             pass
         except Exception:  # noqa: BLE001 - a fault must end this connection only
             logger.exception("unexpected error on a client connection")
         self.close()
 
-    def _serve_commands(self) -> bool:
-        """Serve up to `COMMANDS_PER_TURN` received commands; return whether there may be more."""
+    def _on_input(self, data: bytes) -> None:
+        """Add input to the reader, and what is waiting in the socket behind it."""
+        is_drained = len(data) < READ_BYTES
+        if not is_drained:
+            with suppress(BlockingIOError, InterruptedError):
+                more = self.sock.recv(LONG_READ_BYTES)
+                is_drained = len(more) < LONG_READ_BYTES
+                data += more
+        self._host.traffic.client_bytes_in += len(data)
+        self.last_read_ms = self._host.clock.now()
+        self._input.on_read(self.last_read_ms, is_drained=is_drained)
+        if self._reader.is_between_commands:
+            self.command_started_ms = self.last_read_ms
+        self._reader.feed(data)
+
+    async def _serve_commands(self) -> None:
+        """Serve all commands that have been read, a few in each iteration of the event loop."""
+        while await self._serve_turn():
+            self.flush()
+            await self._pause()
+            if self.has_disconnected():  # what it sent before is not needed any more
+                self.close()
+                return
+        self.flush()
+        self._input.on_wait()
+
+    async def _serve_turn(self) -> bool:
+        """Serve up to `COMMANDS_PER_TURN` commands; return whether there may be more."""
         try:
             for _ in range(COMMANDS_PER_TURN):
                 if self._state is not ClientConnectionState.OPEN:
                     return False
-                message = self._parser.gets()
-                if message is resp.INCOMPLETE:
-                    if self._guard.is_broken:
-                        self._finish_with(resp.PROTOCOL_ERROR)
+                command = self._reader.next_command()
+                if command is None:
                     return False
-                self.commands_read += 1
-                self.command_started_ms = self.last_read_ms
-                self._pending.append(self._commands.handle(self, message))
-                if self._commands.stops_serving:
-                    self._finish()
-                has_too_many_errors = self._commands.invalid_commands >= MAX_INVALID_COMMANDS
-                if has_too_many_errors or len(self._pending) > MAX_PENDING_COMMANDS:
-                    self._finish_with(resp.TOO_MANY_COMMANDS)
+                self._count_command()
+                if isinstance(command, resp.CommandWithBody):
+                    await self._serve_with_body(command)
+                else:
+                    self._responses.append(self._commands.handle(self, command.arguments))
+                self._finish_if_excessive()
         except resp.ProtocolError:
             self._finish_with(resp.PROTOCOL_ERROR)
+        except BodyCancelledError:
+            return False
         return self._state is ClientConnectionState.OPEN
 
-    def _read_ahead(self) -> bool:
-        """Read more input while commands wait to be served; return False if the client closed."""
-        if self._read_ahead_bytes >= MAX_READ_AHEAD_BYTES:
-            return True
-        try:
-            data = self.sock.recv(READ_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        self._read_ahead_bytes += len(data)
-        self._host.traffic.client_bytes_in += len(data)
-        # The waiting commands arrived before this read, so they keep their own lower bound.
-        earliest_arrival_ms = self.earliest_arrival_ms
-        self._feed(data)
-        self.earliest_arrival_ms = earliest_arrival_ms
-        return bool(data)
-
-    def _feed(self, data: bytes) -> None:
-        """Feed bytes to the parser, and update the lower bound on their arrival time."""
+    def _count_command(self) -> None:
+        self.commands_read += 1
+        self.command_started_ms = self.last_read_ms
+        self._pacer.record_command()
+
+    def _finish_if_excessive(self) -> None:
+        if self._commands.stops_serving:
+            self._finish()
+        has_too_many_errors = self._commands.invalid_commands >= MAX_INVALID_COMMANDS
+        if has_too_many_errors or len(self._responses) > MAX_PENDING_COMMANDS:
+            self._finish_with(resp.TOO_MANY_COMMANDS)
+
+    async def _serve_with_body(self, announced: resp.CommandWithBody) -> None:
+        """Read the body of a request and serve it, or reject it and skip its body.
+
+        Raises:
+            ProtocolError: The body does not end with its line.
+        """
+        checked = self._commands.check_request(announced.arguments)
+        body = self._body = BodyReader(self._host, self.sock, self._reader, self._input)
+        if isinstance(checked, resp.RequestCommand):
+            if await body.read(announced.body_bytes, checked.time_left_ms):
+                checked.body = body.content
+                body.content = None
+                self._responses.append(self._host.requests.accept(self, checked))
+                self._end_of_body(body)
+                return
+            if self._body is not body:  # the connection was closed meanwhile
+                return
+            checked = self._host.requests.reject_without_memory(checked)
+        body.is_rejected = True
+        self._responses.append(checked)
+        self.flush()
+        await body.skip(announced.body_bytes)
+        self._end_of_body(body)
+
+    def _end_of_body(self, body: BodyReader) -> None:
         self.last_read_ms = self._host.clock.now()
-        lag = self._host.event_loop_lag
-        # If the reader was already waiting at the second latest heartbeat, the bytes arrived after
-        # it. Otherwise they may have arrived at any time since the buffer was last drained.
-        self.earliest_arrival_ms = (
-            max(self._input_drained_ms, lag.earliest_arrival_ms)
-            if lag.earliest_arrival_ms >= self._heartbeat_before_wait_ms
-            else self._input_drained_ms
-        )
-        is_drained = len(data) < READ_BYTES
-        self._input_drained_ms = self.last_read_ms if is_drained else self.earliest_arrival_ms
-        if self._guard.is_between_messages:
-            self.command_started_ms = self.last_read_ms
-        self._parser.feed(data[: self._guard.count_safe_bytes(data)])
+        if self._body is body:
+            self._body = None
+
+    async def _pause(self) -> None:
+        """Let other tasks run; wait while the client reads too little or sends too fast."""
+        await asyncio.sleep(self._pacer.pause_s(self._loop.time()))
+        while self._responses.unsent_bytes > MAX_UNSENT_BYTES:
+            if self._state is ClientConnectionState.CLOSED or self.has_disconnected():
+                return
+            await asyncio.sleep(CLOSE_CHECK_S)
 
     async def _discard(self, size: int) -> bool:
         """Discard input that follows the last command; `size` bytes of it have just been read.
--- a/dockthread/net/connection_host.py
+++ b/dockthread/net/connection_host.py
@@ -6,26 +6,37 @@
 
 from dockthread.clock import Clock
 from dockthread.net import resp
+from dockthread.net.block_pool import BlockPool
 from dockthread.net.event_loop_lag import EventLoopLagMonitor
+from dockthread.net.response_queue import ResponseSlot, ResponseStream
 from dockthread.observer import Traffic
 
+__all__ = ["ConnectionHost", "RequestHandler", "RequestSource", "ResponseSlot"]
 
-class ResponseSlot:
-    """Holds the response to one command; `response` is None until it is known.
 
-    A connection keeps one slot per command and sends the responses in that order.
-    """
+class RequestSource(Protocol):
+    """The connection on which a request arrived, as the request handler sees it."""
 
-    __slots__ = ("response",)
+    @property
+    def earliest_arrival_ms(self) -> float:
+        """A lower bound on the arrival of the request's last bytes."""
+        ...
 
-    def __init__(self, response: bytes | None = None) -> None:
-        self.response = response
+    def has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection, even if input is unread."""
+        ...
 
+    def close_soon(self) -> None:
+        """Close the connection in a later iteration of the event loop."""
+        ...
 
-class RequestSource(Protocol):
-    """The connection on which a request arrived, as the request handler sees it."""
+    def open_stream(self, slot: ResponseSlot) -> ResponseStream:
+        """Begin to pass on a response in parts."""
+        ...
 
-    earliest_arrival_ms: float
+    def abort_response(self) -> None:
+        """End the connection within a response that cannot be completed."""
+        ...
 
     def flush(self) -> None:
         """Send all responses up to the first one that is not known yet."""
@@ -35,10 +46,6 @@
 class RequestHandler(Protocol):
     """Accepts the requests that client connections read."""
 
-    def is_in_flight(self, wire_id: bytes) -> bool:
-        """Return whether a request with this id is in flight."""
-        ...
-
     def accept(self, connection: RequestSource, command: resp.RequestCommand) -> ResponseSlot:
         """Accept a request and return the slot that will hold its response."""
         ...
@@ -49,6 +56,10 @@
         """Respond to a request without consulting the policy engine; count it under `reason`."""
         ...
 
+    def reject_without_memory(self, command: resp.RequestCommand) -> ResponseSlot:
+        """Reject a request whose body there is no memory for."""
+        ...
+
     def on_client_disconnected(self, slot: ResponseSlot) -> None:
         """Handle the disconnection of a client whose request has no response yet."""
         ...
@@ -60,6 +71,7 @@
     clock: Clock
     request_parser: resp.RequestParser
     traffic: Traffic
+    body_blocks: BlockPool
     event_loop_lag: EventLoopLagMonitor
 
     @property
--- a/dockthread/net/connection_pool.py
+++ b/dockthread/net/connection_pool.py
@@ -11,14 +11,18 @@
 
 from dockthread.net import resp
 from dockthread.net.backend_connection import Attempt, BackendConnection, BackendConnectionState
+from dockthread.net.backend_exchange import READ_BYTES, BackendExchange
 from dockthread.net.context import IngressContext
 from dockthread.net.endpoint_list import BackendRecord
 from dockthread.observer import Observer
 from dockthread.policy import IDLE_CLOSE_FRACTION, NEVER_RAN, Outcome
 
-READ_BYTES = 16 * 1024  # Maximum size of one read from a backend.
-# Time from the first bytes of a reply to its last; backends write a reply in one piece.
-REPLY_COMPLETION_TIMEOUT_MS = 200.0
+# Time without a byte within a reply after which the attempt has failed.
+REPLY_STALL_TIMEOUT_MS = 2_000.0
+# The same within a long reply that is being passed on, which no other attempt can replace.
+STREAM_STALL_TIMEOUT_MS = 10_000.0
+# Time without a byte after the value of a long reply.
+TAIL_TIMEOUT_MS = 500.0
 # Minimum idle time before a connection is reused. A faulty backend may send a second reply some
 # milliseconds after the first, which would be mistaken for the reply to the next request.
 REUSE_DELAY_MS = 20.0
@@ -41,15 +45,15 @@
     """Runs all attempts of an ingress. `on_ended` is called exactly once for each attempt."""
 
     def __init__(
-        self, context: IngressContext, reply_parser: resp.ReplyParser, limits: ConnectionPoolLimits
+        self, context: IngressContext, exchange: BackendExchange, limits: ConnectionPoolLimits
     ) -> None:
         self.observer = Observer()
+        self.exchange = exchange
         self.on_ended: Callable[[Attempt, resp.BackendReply], None] = lambda _attempt, _reply: None
         self._endpoints = context.endpoints
         self._clock = context.clock
         self._call_at = context.timers.call_at
         self._traffic = context.traffic
-        self._reply_parser = reply_parser
         self._max_connections = limits.max_connections
         self._max_idle_ms = limits.idle_timeout_ms * IDLE_CLOSE_FRACTION
         self._connect_timeout_ms = limits.connect_timeout_ms
@@ -119,14 +123,17 @@
     def end(self, attempt: Attempt, outcome: Outcome) -> None:
         """End an attempt that is in flight, and close its connection to notify the backend.
 
-        An attempt whose first byte has not been sent cannot have run. If `outcome` does not say
-        so, the attempt ends with `NOT_SENT` instead.
+        An attempt whose last byte has not been sent cannot have run. If `outcome` does not say
+        so, the attempt ends with `NOT_SENT` instead. A timeout does not end an attempt whose value
+        is being passed on.
         """
         if attempt.outcome is not None:
             return
+        if attempt.response_started_ms is not None and outcome is Outcome.TIMEOUT:
+            return
         if attempt.connection is not None:
             self._close_connection(attempt.connection)
-        is_possible = attempt.has_started or outcome in NEVER_RAN
+        is_possible = attempt.may_have_run or outcome in NEVER_RAN
         self._finish(attempt, resp.BackendReply(outcome if is_possible else Outcome.NOT_SENT))
 
     def close_idle_to(self, backend: BackendRecord) -> None:
@@ -147,6 +154,27 @@
             if not idle:
                 del self._idle[backend]
 
+    def end_stalled(self) -> None:
+        """End the attempts whose backend stopped within its reply."""
+        now = self._clock.now()
+        for connection in list(self._connections):
+            attempt, since_ms = connection.attempt, connection.stalled_since_ms
+            if attempt is None or since_ms is None:
+                continue
+            if attempt.is_response_complete:
+                timeout_ms, outcome = TAIL_TIMEOUT_MS, Outcome.OK
+            elif attempt.response_started_ms is not None:
+                timeout_ms, outcome = STREAM_STALL_TIMEOUT_MS, Outcome.RESET
+            else:
+                timeout_ms, outcome = REPLY_STALL_TIMEOUT_MS, Outcome.ERROR
+            if now - since_ms > timeout_ms:
+                logger.bind(worker=attempt.backend, uid=connection.backend.uid).debug(
+                    "request {} stalled within a reply; it ends as {}",
+                    attempt.request_number,
+                    outcome.value,
+                )
+                self.end(attempt, outcome)
+
     def close_longest_idle(self) -> bool:
         """Close the connection that has been idle longest; return False if none is idle."""
         candidates = [idle for idle in self._idle.values() if idle]
@@ -228,14 +256,15 @@
         if time_left_ms <= 0 or now > attempt.start_deadline_ms or not connection.is_current:
             self._finish(attempt, resp.BackendReply(Outcome.NOT_SENT))
             return False
-        data = attempt.command.encode_for_backend(time_left_ms)
-        self._traffic.backend_bytes_out += len(data)
-        attempt.has_started = True
-        await self._loop.sock_sendall(connection.sock, data)
-        attempt.is_written = True
-        self._traffic.attempts_sent += 1
-        reply, is_reusable = await self._read_reply(connection, attempt, buffer)
-        if not is_reusable:
+        if attempt.source is not None and attempt.source.has_disconnected():
+            attempt.source.close_soon()
+            self._finish(attempt, resp.BackendReply(Outcome.NOT_SENT))
+            return False
+        await self.exchange.send(connection, attempt, time_left_ms)
+        result = await self.exchange.receive(connection, attempt, buffer)
+        reply = result.reply
+        connection.stalled_since_ms = None
+        if not result.is_reusable:
             self._finish(attempt, reply)
             return False
         connection.attempt = None
@@ -249,47 +278,3 @@
         self._finish(attempt, reply)
         await reused
         return True
-
-    async def _read_reply(
-        self, connection: BackendConnection, attempt: Attempt, buffer: bytearray
-    ) -> tuple[resp.BackendReply, bool]:
-        """Read the reply to an attempt; return it and whether the connection may be reused.
-
-        A malformed reply is an error and never a rejection, because the request has run. If more
-        bytes follow a valid reply, the connection is not reused: the next reply could not be
-        matched to its request.
-        """
-        parser = resp.new_parser()
-        guard = resp.reply_guard()
-        has_begun = False
-        while True:
-            size = await self._loop.sock_recv_into(connection.sock, buffer)
-            if not size:
-                return resp.BackendReply(Outcome.RESET), False
-            self._traffic.backend_bytes_in += size
-            data = bytes(buffer[:size])
-            parser.feed(data[: guard.count_safe_bytes(data)])
-            try:
-                message = parser.gets()
-            except (resp.ProtocolError, UnicodeDecodeError):
-                return resp.BackendReply(Outcome.ERROR), False
-            if message is not resp.INCOMPLETE:
-                reply = self._reply_parser.parse(message)
-                has_extra_bytes = (
-                    guard.is_broken or not guard.is_between_messages or bool(parser.has_data())
-                )
-                return reply, reply.is_well_formed and not has_extra_bytes
-            if guard.is_broken:
-                log = logger.bind(worker=attempt.backend, uid=connection.backend.uid)
-                log.debug("malformed reply from {}", connection.endpoint)
-                return resp.BackendReply(Outcome.ERROR), False
-            if not has_begun:
-                has_begun = True
-                complete_by_ms = self._clock.now() + REPLY_COMPLETION_TIMEOUT_MS
-                self._call_at(
-                    complete_by_ms, self._on_reply_completion_timeout, connection, attempt
-                )
-
-    def _on_reply_completion_timeout(self, connection: BackendConnection, attempt: Attempt) -> None:
-        if connection.attempt is attempt and attempt.connection is connection:
-            self.end(attempt, Outcome.ERROR)
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -13,6 +13,8 @@
 from dockthread.config.ingress_config import IngressConfig
 from dockthread.net import resp
 from dockthread.net.action_executor import ActionExecutor
+from dockthread.net.backend_exchange import BackendExchange
+from dockthread.net.block_pool import BlockPool
 from dockthread.net.connection_pool import ConnectionPool, ConnectionPoolLimits
 from dockthread.net.context import MAINTENANCE_INTERVAL_MS, IngressContext
 from dockthread.net.descriptor_budget import DescriptorBudget
@@ -22,6 +24,7 @@
 from dockthread.net.gossip_transport import GossipTransport
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.listener import Listener
+from dockthread.net.memory import BYTES_PER_MB, MemoryBudget, resident_bytes
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import RouteLookup
@@ -33,8 +36,6 @@
 # Time after the signal to stop during which the load balancer may still send new clients here.
 LINGER_MS = 500.0
 FINAL_READ_MS = 20.0  # Time to read the requests that wait on the connections accepted last.
-BODY_MEMORY_SHARE = 1 / 8  # Share of the configured memory for the bodies of requests.
-BYTES_PER_MIB = 1024 * 1024
 
 
 def _policy_settings(config: IngressConfig, clock: Clock) -> PolicySettings:
@@ -91,6 +92,12 @@
         self._stop_requested = asyncio.Event()
         self._heartbeat_timer: asyncio.TimerHandle | None = None
 
+        descriptors = min(config.max_sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        descriptor_budget = DescriptorBudget.of(descriptors)
+        self.memory = MemoryBudget.of(
+            config.memory_mb * BYTES_PER_MB, resident_bytes(), descriptor_budget
+        )
+        self.budget = self.memory.limited(descriptor_budget)
         settings = _policy_settings(config, clock)
         self.engine = PolicyEngine(settings, config.seed, clock.now() / 1000.0)
         policy_host = PolicyHost(self.engine, clock, lambda number: self.requests.abandon(number))
@@ -115,23 +122,30 @@
     def _assemble_request_path(self, context: IngressContext) -> None:
         """Create the components between a client's command and a backend's reply."""
         config = self.config
-        descriptors = min(config.max_sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        self.budget = DescriptorBudget.of(descriptors)
+        self.body_blocks = BlockPool(self.memory.blocks)
+        exchange = BackendExchange(
+            self.clock,
+            self.traffic,
+            resp.ReplyParser(config.policy_settings.load_report_fields),
+            self.body_blocks,
+            self.memory.relay_bytes,
+        )
         self.connection_pool = ConnectionPool(
             context,
-            resp.ReplyParser(config.policy_settings.load_report_fields),
+            exchange,
             ConnectionPoolLimits(
                 self.budget.backend, config.connection_idle_ms, config.connect_timeout_ms
             ),
         )
         self.endpoints.on_moved = self.connection_pool.close_idle_to
         limits = RequestLimits(
-            max_requests=config.max_open_requests,
-            max_body_bytes=int(config.memory_mb * BODY_MEMORY_SHARE * BYTES_PER_MIB),
+            max_requests=min(config.max_open_requests, self.memory.requests),
+            max_body_bytes=self.memory.body_bytes,
             max_retry_after_ms=config.policy_settings.max_retry_after * 1000.0,
         )
         self.requests = RequestTable(context, self.connection_pool, limits)
         self.connection_pool.on_ended = self.requests.on_attempt_ended
+        exchange.responses = self.requests
         self.listener = Listener(self, self.budget, self.connection_pool)
 
     def _assemble_remote_clients(self, settings: PolicySettings) -> None:
@@ -341,6 +355,7 @@
         now = self.clock.now()
         self.call_at(now + MAINTENANCE_INTERVAL_MS, self._run_periodic_maintenance)
         self.connection_pool.close_expired()
+        self.connection_pool.end_stalled()
         self.endpoints.forget_expired()
         self.watch.enforce_timeouts()
         self.counter.enforce_timeouts()
--- /dev/null
+++ b/dockthread/net/memory.py
@@ -0,0 +1,118 @@
+"""Divides the memory of a process: what it holds at the start, and bounds on what it may add.
+
+The bounds are worked out once, from the limit in the configuration and the resident size when the
+ingress starts to serve. Each part has a share of what is left, so that all of them at their bounds
+together stay within the limit. The sizes of a connection, a request and a customer are upper
+estimates of what the process holds for one, the allocator's overhead included.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from dockthread.net.descriptor_budget import DescriptorBudget
+from dockthread.net.resp.limits import MAX_HEAD_BYTES
+
+BYTES_PER_MB = 1_000_000
+BYTES_PER_KIB = 1024
+STATM = Path("/proc/self/statm")  # Sizes of this process in pages; the second is the resident size.
+
+BLOCK_BYTES = 16 * BYTES_PER_KIB
+# Buffers of a response that is passed on, the smallest and the largest.
+MIN_RELAY_BYTES = 4 * BYTES_PER_KIB
+MAX_RELAY_BYTES = 64 * BYTES_PER_KIB
+AMPLE_REQUESTS = 1_000  # With room for this many requests, their buffers may be larger.
+CLIENT_CONNECTION_BYTES = 7 * BYTES_PER_KIB
+BACKEND_CONNECTION_BYTES = 9 * BYTES_PER_KIB
+REQUEST_BYTES = 5 * BYTES_PER_KIB
+CUSTOMER_BYTES = 5 * BYTES_PER_KIB // 4
+
+# Share of the limit that is left for everything without a bound of its own.
+RESERVE_SHARE = 1 / 20
+CLIENT_SHARE = 0.25
+BACKEND_SHARE = 0.1
+REQUEST_SHARE = 0.25
+CUSTOMER_SHARE = 0.15
+# A smaller bound would let an ingress serve nothing; below it the configured memory is too small.
+MIN_CLIENT_CONNECTIONS = 32
+MIN_BACKEND_CONNECTIONS = 16
+MIN_REQUESTS = 32
+MIN_CUSTOMERS = 256
+MIN_BLOCKS = 16
+
+
+def resident_bytes() -> int:
+    """Return the resident size of this process; 0 if the system does not tell."""
+    try:
+        pages = int(STATM.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryBudget:
+    """Bounds on what an ingress may hold.
+
+    Attributes:
+        client_connections: Maximum number of client connections, the surplus included.
+        backend_connections: Maximum number of connections to backends.
+        requests: Maximum number of requests in flight.
+        customers: Maximum number of customers whose state is kept.
+        blocks: Maximum number of blocks for bodies and values.
+        relay_bytes: Size of the buffer that each request may use to pass on its response.
+    """
+
+    client_connections: int
+    backend_connections: int
+    requests: int
+    customers: int
+    blocks: int
+    relay_bytes: int
+
+    @property
+    def body_bytes(self) -> int:
+        """Maximum total size of the bodies of all requests."""
+        return self.blocks * BLOCK_BYTES + self.requests * MAX_HEAD_BYTES
+
+    @staticmethod
+    def of(limit_bytes: float, held_bytes: int, descriptors: DescriptorBudget) -> MemoryBudget:
+        """Return the budget of a process that holds `held_bytes` of its limit at the start."""
+        available = max(0.0, limit_bytes * (1 - RESERVE_SHARE) - held_bytes)
+
+        def count(share: float, size: int, minimum: int) -> int:
+            return max(minimum, int(available * share / size))
+
+        clients = min(
+            descriptors.client + descriptors.surplus,
+            count(CLIENT_SHARE, CLIENT_CONNECTION_BYTES, MIN_CLIENT_CONNECTIONS),
+        )
+        backends = min(
+            descriptors.backend,
+            count(BACKEND_SHARE, BACKEND_CONNECTION_BYTES, MIN_BACKEND_CONNECTIONS),
+        )
+        relay_bytes = MIN_RELAY_BYTES
+        while (
+            relay_bytes < MAX_RELAY_BYTES
+            and count(REQUEST_SHARE, REQUEST_BYTES + 2 * relay_bytes, MIN_REQUESTS)
+            >= AMPLE_REQUESTS
+        ):
+            relay_bytes *= 2
+        requests = count(REQUEST_SHARE, REQUEST_BYTES + relay_bytes, MIN_REQUESTS)
+        customers = count(CUSTOMER_SHARE, CUSTOMER_BYTES, MIN_CUSTOMERS)
+        # What descriptors keep the connections from using goes to the blocks.
+        connections_bytes = clients * CLIENT_CONNECTION_BYTES + backends * BACKEND_CONNECTION_BYTES
+        others = (REQUEST_SHARE + CUSTOMER_SHARE) * available
+        blocks = max(MIN_BLOCKS, int((available - connections_bytes - others) / BLOCK_BYTES))
+        return MemoryBudget(clients, backends, requests, customers, blocks, relay_bytes)
+
+    def limited(self, descriptors: DescriptorBudget) -> DescriptorBudget:
+        """Return the budget of descriptors, reduced to the connections that memory allows."""
+        surplus = min(descriptors.surplus, self.client_connections // 8)
+        return DescriptorBudget(
+            min(descriptors.client, self.client_connections - surplus),
+            surplus,
+            self.backend_connections,
+        )
--- a/dockthread/net/request.py
+++ b/dockthread/net/request.py
@@ -12,9 +12,10 @@
 
 
 class RequestState(Enum):
-    """State of a request: IN_FLIGHT -> ANSWERED, or IN_FLIGHT -> ABANDONED."""
+    """State of a request; the states follow one another in this order, and some may be skipped."""
 
     IN_FLIGHT = "in flight"
+    RESPONDING = "responding"  # a long response is being passed on
     ANSWERED = "answered"  # its response was passed to the client connection
     ABANDONED = "abandoned"  # its client disconnected before the response was known
 
@@ -59,7 +60,17 @@
     @property
     def is_finished(self) -> bool:
         """Whether the request has been answered or abandoned."""
-        return self.state is not RequestState.IN_FLIGHT
+        return self.state in (RequestState.ANSWERED, RequestState.ABANDONED)
+
+    @property
+    def is_responding(self) -> bool:
+        """Whether a long response is being passed on."""
+        return self.state is RequestState.RESPONDING
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a backend may have executed the request."""
+        return any(attempt.may_have_run for attempt in self.attempts)
 
     @property
     def last_outcome(self) -> str:
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -12,8 +12,15 @@
 from dockthread.net.connection_pool import ConnectionPool
 from dockthread.net.context import MAINTENANCE_INTERVAL_MS, IngressContext
 from dockthread.net.request import Request, RequestState, RouteLookup
+from dockthread.net.response_queue import ResponseStream
 from dockthread.observer import FAILED, REJECTED, SERVED, Observer
-from dockthread.policy import AttemptEnded, ClientDisconnected, Outcome, RequestArrived
+from dockthread.policy import (
+    AttemptEnded,
+    ClientDisconnected,
+    Outcome,
+    RequestArrived,
+    ResponseStarted,
+)
 
 # Time deducted from a request's time budget for the transit of request and response and for late
 # timers. The client measures from the time when it sent the request. The policy engine answers two
@@ -45,7 +52,10 @@
     """All requests, by number, that are unanswered or have an attempt in flight."""
 
     def __init__(
-        self, context: IngressContext, pool: ConnectionPool, limits: RequestLimits
+        self,
+        context: IngressContext,
+        pool: ConnectionPool,
+        limits: RequestLimits,
     ) -> None:
         self.observer = Observer()
         self.routes: RouteLookup | None = None
@@ -72,10 +82,6 @@
         """The number of requests without a response."""
         return sum(not request.is_finished for request in self.by_number.values())
 
-    def is_in_flight(self, wire_id: bytes) -> bool:
-        """Return whether a request with this id, in the client's spelling, is in flight."""
-        return wire_id in self._wire_ids_in_flight
-
     # Arrival
 
     def accept(self, connection: RequestSource, command: resp.RequestCommand) -> ResponseSlot:
@@ -83,6 +89,12 @@
 
         Returns the slot for its response.
         """
+        slot = self._accept(connection, command)
+        if not isinstance(slot, Request):
+            command.release_body()
+        return slot
+
+    def _accept(self, connection: RequestSource, command: resp.RequestCommand) -> ResponseSlot:
         body_bytes = self.body_bytes + command.body_bytes
         is_full = len(self.by_number) >= self.limits.max_requests
         if is_full or body_bytes > self.limits.max_body_bytes or self._lifecycle.draining:
@@ -94,6 +106,9 @@
         time_left_ms = time_budget_ms - transit_time_ms - lag_ms
         if lag_ms and time_left_ms < time_budget_ms * MIN_TIME_LEFT_SHARE:
             return self._reject_at_once(command, "late")
+        if command.wire_id in self._wire_ids_in_flight:
+            response = resp.encode_error("this id is open already")
+            return self.respond_without_policy(command, "duplicate", response)
         self._last_number += 1
         route = self.routes.bounds(command) if self.routes is not None else None
         if route is not None and route.timeout:
@@ -129,6 +144,10 @@
         is_over_memory = body_bytes > self.limits.max_body_bytes
         return self._reject_at_once(command, "bodies" if is_over_memory else "crowded")
 
+    def reject_without_memory(self, command: resp.RequestCommand) -> ResponseSlot:
+        """Reject a request whose body there is no memory for."""
+        return self._reject_at_once(command, "draining" if self._lifecycle.draining else "bodies")
+
     def _reject_at_once(self, command: resp.RequestCommand, reason: str) -> ResponseSlot:
         response = resp.encode_busy(self.limits.max_retry_after_ms)
         return self.respond_without_policy(command, reason, response)
@@ -164,12 +183,16 @@
         to telemetry for a request that was not served.
         """
         request.response = response
+        self._record_answer(request, outcome, reason)
+        request.connection.flush()
+        self._forget_if_done(request)
+
+    def _record_answer(self, request: Request, outcome: str, reason: str = "") -> None:
+        """Record that a request has its final response."""
         request.state = RequestState.ANSWERED
         command = request.command
         self._traffic.outcomes[outcome][command.request_class] += 1
         self._wire_ids_in_flight.discard(command.wire_id)
-        request.connection.flush()
-        self._forget_if_done(request)
         if self.observer.active:
             duration_ms = self._clock.now() - request.arrived_ms
             self.observer.request_completed(
@@ -184,11 +207,51 @@
                 is_late=duration_ms > command.latency_objective_ms,
             )
 
+    # A response that is passed on while its backend writes it
+
+    def begin_response(self, attempt: Attempt) -> ResponseStream | None:
+        """Let an attempt answer its request; return None if that is answered already.
+
+        No other attempt can answer the request any more, and its deadline does not end it.
+        """
+        request = self.by_number.get(attempt.request_number)
+        if request is None or request.state is not RequestState.IN_FLIGHT:
+            return None
+        request.state = RequestState.RESPONDING
+        attempt.response_started_ms = self._clock.now()
+        stream = request.connection.open_stream(request)
+        self._dispatch(ResponseStarted(request.number, attempt.number, attempt.backend))
+        for other in request.attempts:
+            if other is not attempt:
+                self._pool.end(other, Outcome.CANCELLED)
+        request.connection.flush()
+        return stream
+
+    def complete_response(self, attempt: Attempt) -> None:
+        """Record that the value of an attempt that answers its request was passed on whole."""
+        request = self.by_number[attempt.request_number]
+        if request.is_responding:
+            attempt.is_response_complete = True
+            self._record_answer(request, SERVED)
+
+    def _end_response(self, request: Request) -> None:
+        """End a response whose backend broke off, so that its client can tell it is not whole."""
+        logger.bind(request=request.number).info(
+            "request {} ended within its response: {}", request.number, request.last_outcome
+        )
+        self._record_answer(request, FAILED, request.last_outcome)
+        request.connection.abort_response()
+
     def on_attempt_ended(self, attempt: Attempt, reply: resp.BackendReply) -> None:
         """Respond to the request if the attempt succeeded, and notify the policy engine."""
         request = self.by_number[attempt.request_number]
         request.attempts_in_flight -= 1
+        if request.is_responding and attempt.response_started_ms is not None:
+            self._end_response(request)
         is_first_success = reply.outcome is Outcome.OK and not request.is_finished
+        is_answer = is_first_success or attempt.is_response_complete
+        # A long response takes as long as its client reads it, which says nothing of the backend.
+        ended_ms = attempt.response_started_ms or self._clock.now()
         if self.observer.active:
             self.observer.attempt_ended(reply.outcome)
         if self.observer.tracing:
@@ -202,8 +265,8 @@
                 attempt.backend,
                 reply.outcome,
                 request.is_finished,
-                (self._clock.now() - attempt.started_ms) / 1000.0,
-                reply.cost if is_first_success else 0.0,
+                (ended_ms - attempt.started_ms) / 1000.0,
+                reply.cost if is_answer else 0.0,
                 reply.utilization,
                 reply.load_report,
             )
@@ -228,6 +291,7 @@
         ):
             del self.by_number[request.number]
             self.body_bytes -= request.command.body_bytes
+            request.command.release_body()
 
     # Requests that end without a reply
 
@@ -236,6 +300,7 @@
         if not isinstance(slot, Request) or slot.is_finished:
             return
         request = slot
+        is_responding = request.is_responding
         request.state = RequestState.ABANDONED
         command = request.command
         self.observer.client_disconnected(
@@ -246,9 +311,11 @@
             bool(request.attempts),
         )
         self._dispatch(ClientDisconnected(request.number))
-        for attempt in request.attempts:  # attempts that have not been sent yet are not needed
-            if not attempt.has_started:
+        for attempt in request.attempts:
+            if not attempt.has_started:  # it is not needed any more
                 self._pool.end(attempt, Outcome.NOT_SENT)
+            elif is_responding:  # the policy engine leaves it to the client
+                self._pool.end(attempt, Outcome.CANCELLED)
         self._wire_ids_in_flight.discard(command.wire_id)
         self._forget_if_done(request)
 
@@ -259,7 +326,7 @@
         request is in flight.
         """
         request = self.by_number.get(number)
-        if request is None or request.is_finished:
+        if request is None or request.state is not RequestState.IN_FLIGHT:
             return
         self.respond(request, resp.FAILED, FAILED, "fault")
         for attempt in request.attempts:
@@ -286,6 +353,8 @@
 
         The request is unanswered at this time only if the policy engine failed.
         """
+        if request.is_responding:
+            return
         for attempt in request.attempts:
             self._pool.end(attempt, Outcome.TIMEOUT)
         if not request.is_finished:
--- a/dockthread/net/resp/__init__.py
+++ b/dockthread/net/resp/__init__.py
@@ -5,6 +5,12 @@
 wire protocol, so their text must not change.
 """
 
+from dockthread.net.resp.command_reader import (
+    REQUEST_VERBS,
+    Command,
+    CommandReader,
+    CommandWithBody,
+)
 from dockthread.net.resp.commands import (
     CommandError,
     RequestCommand,
@@ -20,7 +26,6 @@
     INCOMPLETE,
     FramingGuard,
     ProtocolError,
-    command_guard,
     counter_reply_guard,
     new_parser,
     reply_guard,
@@ -40,6 +45,7 @@
     encode_error,
     encode_value,
 )
+from dockthread.net.resp.reply_reader import LongReplyTail, ReplyReader
 
 __all__ = [
     "BUSY",
@@ -50,16 +56,21 @@
     "OK",
     "PONG",
     "PROTOCOL_ERROR",
+    "REQUEST_VERBS",
     "TOO_MANY_COMMANDS",
     "BackendReply",
+    "Command",
     "CommandError",
+    "CommandReader",
+    "CommandWithBody",
     "CounterReply",
     "FramingGuard",
+    "LongReplyTail",
     "ProtocolError",
     "ReplyParser",
+    "ReplyReader",
     "RequestCommand",
     "RequestParser",
-    "command_guard",
     "counter_reply_guard",
     "encode_busy",
     "encode_command",
--- a/dockthread/net/resp/commands.py
+++ b/dockthread/net/resp/commands.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 from dockthread.config.ingress_config import Names
 from dockthread.errors import DockthreadError
@@ -21,12 +23,27 @@
     """A complete command that cannot be served; its text is sent to the client."""
 
 
+class Body(Protocol):
+    """The body of a request that is held in blocks."""
+
+    size: int
+
+    def pieces(self) -> list[memoryview]:
+        """Return the body by block."""
+        ...
+
+    def release(self) -> None:
+        """Return the blocks; may be called again."""
+        ...
+
+
 @dataclass(slots=True)
 class RequestCommand:
     """A client's request, with its original arguments for forwarding it to a backend.
 
     The fourth argument is a list of terms such as `c=CLASS,t=PLAN,d=250`; `d` is the time left
-    until the deadline in milliseconds.
+    until the deadline in milliseconds. `body` is a body that is not among the arguments, because
+    it is large.
     """
 
     arguments: list[bytes]
@@ -41,19 +58,42 @@
     spread: int
     first: int
     is_retry: bool = False  # whether the client marked it as a retry
+    body: Body | None = None
 
     @property
     def wire_id(self) -> bytes:
         """The request's id in the client's spelling."""
         return self.arguments[2]
 
+    @property
+    def may_be_repeated(self) -> bool:
+        """Whether it is of a class that is safe to repeat."""
+        return self.arguments[0].upper() == b"API.READ"
+
     @property
     def body_bytes(self) -> int:
         """The size of the body in bytes."""
-        return sum(map(len, self.arguments[4:]))
+        return sum(map(len, self.arguments[4:])) + (self.body.size if self.body else 0)
+
+    def release_body(self) -> None:
+        """Return the memory of a large body, which is not forwarded any more."""
+        if self.body is not None:
+            self.body.release()
+
+    def parts_for_backend(self, time_left_ms: float) -> Iterator[bytes | memoryview]:
+        """Yield the parts of the command that forwards the request; see `encode_for_backend`."""
+        body = self.body
+        if body is None:
+            yield self.encode_for_backend(time_left_ms)
+            return
+        # The header of the array tells the body as well.
+        head = self.encode_for_backend(time_left_ms).partition(b"\r\n")[2]
+        yield b"*%d\r\n%b$%d\r\n" % (len(self.arguments) + 1, head, body.size)
+        yield from body.pieces()
+        yield b"\r\n"
 
     def encode_for_backend(self, time_left_ms: float) -> bytes:
-        """Return the command that forwards the request to a backend.
+        """Return the command that forwards the request to a backend, without a large body.
 
         Only the value of `d` may differ from the client's command: a backend answers any other
         difference with -SYNTAX.
--- a/dockthread/net/resp/framing.py
+++ b/dockthread/net/resp/framing.py
@@ -10,7 +10,7 @@
 
 import hiredis
 
-from dockthread.net.resp.limits import MAX_COMMAND_ARGUMENTS, MAX_VALUE_BYTES
+from dockthread.net.resp.limits import MAX_WHOLE_VALUE_BYTES
 
 INCOMPLETE = object()  # returned by a parser while the next message is incomplete
 MAX_HEADER_BYTES = 12  # Maximum size of a type byte, a length and the line end.
@@ -110,7 +110,7 @@
                 position = value_header.end()
                 if size >= 0:
                     position += size + 2
-                is_allowed = self._min_value_bytes <= size <= MAX_VALUE_BYTES
+                is_allowed = self._min_value_bytes <= size <= MAX_WHOLE_VALUE_BYTES
                 if not is_allowed or data[position - 2 : position] != b"\r\n":
                     return end
             end = position
@@ -150,17 +150,12 @@
             self._values_left -= 1
         else:
             self._value_bytes_left = size
-        return self._min_value_bytes <= size <= MAX_VALUE_BYTES
+        return self._min_value_bytes <= size <= MAX_WHOLE_VALUE_BYTES
 
 
-def command_guard() -> FramingGuard:
-    """Return a guard for the commands of a client."""
-    return FramingGuard(range(1, MAX_COMMAND_ARGUMENTS + 1))
-
-
-def reply_guard() -> FramingGuard:
-    """Return a guard for the replies of a backend."""
-    lengths = range(REPLY_ELEMENTS, REPLY_ELEMENTS + 1)
+def reply_guard(elements: int = REPLY_ELEMENTS) -> FramingGuard:
+    """Return a guard for the replies of a backend, arrays of `elements`."""
+    lengths = range(elements, elements + 1)
     return FramingGuard(lengths, allows_null=True, allows_error_lines=True)
 
 
--- a/dockthread/net/resp/replies.py
+++ b/dockthread/net/resp/replies.py
@@ -7,7 +7,7 @@
 
 import hiredis
 
-from dockthread.net.resp.limits import MAX_VALUE_BYTES
+from dockthread.net.resp.limits import MAX_WHOLE_VALUE_BYTES
 from dockthread.policy import Outcome
 
 OK = b"+OK\r\n"
@@ -80,7 +80,7 @@
         """Interpret a complete reply, as returned by the hiredis parser."""
         if isinstance(message, list) and len(message) == 3 and type(message[0]) is bytes:
             value, usage, load_report = message
-            if len(value) <= MAX_VALUE_BYTES and all(
+            if len(value) <= MAX_WHOLE_VALUE_BYTES and all(
                 report is None or type(report) is bytes for report in (usage, load_report)
             ):
                 reply = BackendReply(Outcome.OK, value)
--- a/tests/net/test_closing_client_connections.py
+++ b/tests/net/test_closing_client_connections.py
@@ -142,10 +142,10 @@
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             await until(lambda: ingress.listener.connections)
             (connection,) = ingress.listener.connections
-            # Fill the socket buffers one response at a time: too many unread bytes would make the
-            # ingress close the connection.
-            while connection._writer is None:
-                client.writer.write(command(b"PING", b"x" * 60_000))
+            # Fill the socket buffers one response at a time: with too many unread bytes the ingress
+            # serves no further command.
+            while connection._responses._writer is None:
+                client.writer.write(command(b"PING", b"x" * 1_900))
                 commands_sent += 1
                 await until(partial(has_read, connection, commands_sent))
             client.writer.write(request(1))
--- a/tests/net/test_resp.py
+++ b/tests/net/test_resp.py
@@ -9,7 +9,7 @@
 
 from dockthread.net import resp
 from dockthread.policy import Outcome
-from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, config, message
+from tests.loopback import CUSTOMER_KEY, FIRST_REQUEST_ID, command, config, message
 
 CONFIG = config(message(1, full=True))
 REQUEST_PARSER = resp.RequestParser(
@@ -116,22 +116,48 @@
     ) == expected
 
 
-COMMAND_GUARD, REPLY_GUARD = resp.command_guard, resp.reply_guard
-
-
 @pytest.mark.parametrize(
-    ("new_guard", "wire", "safe_bytes", "is_broken"),
+    ("wire", "commands", "is_malformed"),
     [
-        (COMMAND_GUARD, b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI", 24, False),
-        (COMMAND_GUARD, b"*1\r\n$4\r\nPINGS\r\n", 12, True),  # without the guard, the parser would read PING
-        (COMMAND_GUARD, b"*1\r\n$0\r\n\r\n", 10, False),
-        *((COMMAND_GUARD, wire, 0, True) for wire in (
+        (b"*1\r\n$4\r\nPING\r\n*1\r\n$4\r\nPI", [[b"PING"]], False),
+        (b"*1\r\n$4\r\nPINGS\r\n", [], True),
+        (b"*1\r\n$0\r\n\r\n", [[b""]], False),
+        *((wire, [], True) for wire in (
             b"PING\r\n", b"*1000000000\r\n", b"*-3\r\n", b"*0\r\n", b"*\r\n", b"*1\n", b"*00000000000001",
             b"$4\r\n", b"-ERR\r\n", b"*_1\r\n",
         )),
-        *((COMMAND_GUARD, b"*1\r\n" + wire, 4, True) for wire in (
+        *((b"*1\r\n" + wire, [], True) for wire in (
             b"*1\r\n", b":1\r\n", b"$60000000\r\n", b"$65537\r\n", b"$-1\r\n", b"$-4\r\n", b"$ten\r\n",
         )),
+        (command(b"API.READ", b"", b"", b"x" * 5_000, b""), [], True),
+        (command(b"GET", b"", b"", b"", b"x" * 5_000), [], True),
+        (b"*5\r\n" + command(b"API.READ", b"", b"", b"")[4:] + b"$4194305\r\n", [], True),
+        (b"*5\r\n" + command(b"API.READ", b"", b"", b"")[4:] + b"$4194304\r\n", [4_194_304], False),
+    ],
+)  # fmt: skip
+def test_commands_are_read_whole_but_for_a_long_body_and_anything_else_is_malformed(
+    wire: bytes, commands: list[object], is_malformed: bool
+) -> None:
+    for step in (len(wire), 1):
+        reader, seen, has_failed = resp.CommandReader(), list[object](), False
+        try:
+            for position in range(0, len(wire), step):
+                reader.feed(wire[position : position + step])
+                while (read := reader.next_command()) is not None:
+                    seen.append(
+                        read.arguments if isinstance(read, resp.Command) else read.body_bytes
+                    )
+        except resp.ProtocolError:
+            has_failed = True
+        assert (seen, has_failed) == (commands, is_malformed)
+
+
+REPLY_GUARD = resp.reply_guard
+
+
+@pytest.mark.parametrize(
+    ("new_guard", "wire", "safe_bytes", "is_broken"),
+    [
         (REPLY_GUARD, b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n-BUSY\r\n", 28, False),
         (REPLY_GUARD, b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\nnoise", 21, True),
         (REPLY_GUARD, b"*3\r\n$3000000000\r\n", 4, True),
