Bound the number of customers whose state an ingress keeps

Cause: a customer was taken for something that the settings name. Names come from requests and from peers' gossip; each took some 1.5 KB for the time in which its bucket refills, and with gossip for 120 s, however many came.

Change: PolicySettings.max_customers, worked out from the memory; a full registry drops customers that have sent nothing for 2 s and whose buckets are full, so no quota and no ceiling is refilled by it, and rejects new names otherwise. Reports from peers are held to the same bound. Customer has slots (0.8 KB).

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -38,7 +38,7 @@
 FINAL_READ_MS = 20.0  # Time to read the requests that wait on the connections accepted last.
 
 
-def _policy_settings(config: IngressConfig, clock: Clock) -> PolicySettings:
+def _policy_settings(config: IngressConfig, clock: Clock, max_customers: int) -> PolicySettings:
     """Return the settings of the policy engine, restricted to what this ingress can do.
 
     Without a counter address the engine must not use the quota counter, and without peer addresses
@@ -50,6 +50,7 @@
         may_use_counter=settings.may_use_counter and config.counter is not None,
         may_gossip=settings.may_gossip and config.peers is not None,
         clock_offset=clock.unix_offset / 1000.0,
+        max_customers=max_customers,
     )
 
 
@@ -98,7 +99,7 @@
             config.memory_mb * BYTES_PER_MB, resident_bytes(), descriptor_budget
         )
         self.budget = self.memory.limited(descriptor_budget)
-        settings = _policy_settings(config, clock)
+        settings = _policy_settings(config, clock, self.memory.customers)
         self.engine = PolicyEngine(settings, config.seed, clock.now() / 1000.0)
         policy_host = PolicyHost(self.engine, clock, lambda number: self.requests.abandon(number))
         self.dispatch = policy_host.dispatch
--- a/dockthread/policy/admission.py
+++ b/dockthread/policy/admission.py
@@ -73,6 +73,10 @@
         settings = self._context.settings
         deadline = self._context.now + event.remaining_time
         pending = PendingRequest(event, settings.classes[event.request_class], deadline)
+        if not self._customers.has_room_for(event.customer):
+            request_class = pending.request_class
+            reject(self._context, event.request, request_class, RejectionReason.OVERLOAD)
+            return
         customer = self._customers.get(event.customer, event.plan)
         sketch = self._customers.sketches[event.plan]
         customer.first_ingress = event.first_ingress % settings.ingress_count
--- a/dockthread/policy/customer.py
+++ b/dockthread/policy/customer.py
@@ -74,6 +74,35 @@
         waiting_requests: requests that wait for the counter's reply.
     """
 
+    __slots__ = (
+        "admitted_units",
+        "arrival_rate",
+        "ceiling_tokens",
+        "ceiling_updated_at",
+        "counter_at",
+        "counter_call",
+        "counter_correction",
+        "first_ingress",
+        "gossip_at",
+        "in_flight",
+        "local_rate",
+        "local_rate_at",
+        "peer_admission_rate",
+        "peer_arrival_rate",
+        "peer_in_flight",
+        "peer_sums",
+        "pending_correction",
+        "plan_number",
+        "quota",
+        "remote_rate",
+        "reported_usage",
+        "reported_usage_at",
+        "requested_units",
+        "spread",
+        "uncounted_units",
+        "waiting_requests",
+    )
+
     def __init__(self, plan_number: int, plan: Plan, now: float, started_at: float) -> None:
         self.plan_number = plan_number
         self.quota = QuotaBucket(plan.rate, plan.burst, now)
@@ -111,6 +140,14 @@
             return False
         return plan.ceiling_rate * (now - self.ceiling_updated_at) >= plan.ceiling_burst
 
+    def has_full_buckets(self, plan: Plan, now: float) -> bool:
+        """Return whether nothing that limits the customer depends on its past."""
+        if self.in_flight or self.waiting_requests or self.counter_call:
+            return False
+        if self.quota.level_at(now) < plan.burst:
+            return False
+        return plan.ceiling_rate * (now - self.ceiling_updated_at) >= plan.ceiling_burst
+
     def gossip_report(self, number: int, now: float) -> CustomerReport:
         """Return a report of the customer for peers.
 
--- a/dockthread/policy/customer_registry.py
+++ b/dockthread/policy/customer_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dockthread.policy.context import Context
+from dockthread.policy.context import NEVER, Context
 from dockthread.policy.customer import Customer
 from dockthread.policy.model import PolicySettings
 from dockthread.policy.rate_sketch import RateSketch
@@ -13,6 +13,10 @@
 # With gossip, seconds without a request after which a customer may be dropped. Its token bucket is
 # full again by then, like that of a new customer.
 GOSSIP_IDLE_TIME = 120.0
+# Seconds between two searches of a full registry for customers that can be dropped.
+SEARCH_INTERVAL = 0.25
+# Seconds without a request after which a full registry may drop a customer.
+FULL_IDLE_TIME = 2.0
 
 
 class CustomerRegistry:
@@ -24,7 +28,7 @@
             quota and without a cap on attempts in flight.
     """
 
-    __slots__ = ("_context", "by_number", "sketches")
+    __slots__ = ("_context", "_searched_at", "by_number", "sketches")
 
     def __init__(self, context: Context, cap_window: float) -> None:
         """Create an empty registry.
@@ -36,6 +40,7 @@
         """
         self._context = context
         self.by_number: dict[int, Customer] = {}
+        self._searched_at = NEVER
         windows = rate_windows(context.settings, cap_window)
         self.sketches = [RateSketch(window, context.rng) if window else None for window in windows]
 
@@ -50,6 +55,28 @@
         customer.quota.refill(self._context.now)
         return customer
 
+    def has_room_for(self, number: int) -> bool:
+        """Return whether a customer is known, or may become known.
+
+        Names are free to whoever sends requests, so their number is bounded. A customer is dropped
+        for a new one only if it has sent nothing for a while and its state is that of a new one.
+        """
+        max_customers = self._context.settings.max_customers
+        if not max_customers or number in self.by_number or len(self.by_number) < max_customers:
+            return True
+        now = self._context.now
+        if now - self._searched_at < SEARCH_INTERVAL:
+            return False
+        self._searched_at = now
+        plans = self._context.settings.plans
+        self.by_number = {
+            known: customer
+            for known, customer in self.by_number.items()
+            if now - customer.quota.updated_at < FULL_IDLE_TIME
+            or not customer.has_full_buckets(plans[customer.plan_number], now)
+        }
+        return len(self.by_number) < max_customers
+
     def get_known(self, number: int) -> Customer:
         """Return a known customer with its token bucket refilled.
 
--- a/dockthread/policy/gossip.py
+++ b/dockthread/policy/gossip.py
@@ -234,6 +234,8 @@
         now = self._context.now
         customers = self._customers.by_number
         unsent = self._unsent[peer]
+        for number in [number for number in unsent if number not in customers]:
+            del unsent[number]  # a full registry dropped the customer
         numbers = list(unsent)
         capacity = gossip_codec.report_capacity(len(suspects), numbers)
         if len(numbers) > capacity:
@@ -267,6 +269,8 @@
             self._peer_incarnations[peer] = message.incarnation
             self._report_all_to(peer)
         for report in message.reports:
+            if not self._customers.has_room_for(report.customer):
+                continue
             customer = self._customers.get(report.customer, report.plan)
             self._apply_customer_report(peer, customer, report)
 
--- a/dockthread/policy/model.py
+++ b/dockthread/policy/model.py
@@ -210,6 +210,7 @@
         load_report_fields: names of the numbers in a load report, in order.
         has_load_reports: whether answers carry load reports.
         must_poll_endpoints: whether the engine must request the endpoint list.
+        max_customers: maximum number of customers whose state is kept; 0 for no maximum.
     """
 
     ingress_number: int
@@ -236,6 +237,7 @@
     load_report_fields: tuple[str, ...] = ()
     has_load_reports: bool = False
     must_poll_endpoints: bool = False
+    max_customers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
