Remember the ids of requests that must not run twice, at both processes of an upgrade

Cause: the identity of a request was taken for that of its connection: an id was known only while its request was in flight in this process, and was forgotten when its client left or it was answered.

Change: net/request_ids.py keeps the ids of requests that may not simply be repeated until 30 s after their deadline, in a table of 256 KiB. With an inherited listener it is a file in TMPDIR that both processes of an upgrade use; it is read and written by system calls, because a mapped file on a full disk kills its process, and where it fails each process goes on with a table of its own. An id whose request did not run is released. Repetitions get the error that open ids got before.

Of the new tests the one of a client that left and of an answered request fail without the table.

--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -28,6 +28,7 @@
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import RouteLookup
+from dockthread.net.request_ids import RequestIds
 from dockthread.net.requests_in_flight import RequestLimits, RequestTable
 from dockthread.net.timers import Timers
 from dockthread.observer import IsolatedObserver, Observer, Traffic
@@ -144,7 +145,13 @@
             max_body_bytes=self.memory.body_bytes,
             max_retry_after_ms=config.policy_settings.max_retry_after * 1000.0,
         )
-        self.requests = RequestTable(context, self.connection_pool, limits)
+        is_shared = config.inherited_listener_fd is not None  # an upgrade runs two processes
+        self.request_ids = (
+            RequestIds.shared(self.clock, config.name)
+            if is_shared
+            else RequestIds.private(self.clock)
+        )
+        self.requests = RequestTable(context, self.connection_pool, limits, self.request_ids)
         self.connection_pool.on_ended = self.requests.on_attempt_ended
         exchange.responses = self.requests
         self.listener = Listener(self, self.budget, self.connection_pool)
@@ -346,6 +353,7 @@
         self.connection_pool.close()
         self.counter.close()
         self.peers.close()
+        self.request_ids.close()
 
     def _record_heartbeat(self) -> None:
         self.event_loop_lag.record_heartbeat(self.clock.now())
--- a/dockthread/net/request.py
+++ b/dockthread/net/request.py
@@ -8,7 +8,7 @@
 from dockthread.net import resp
 from dockthread.net.backend_connection import Attempt
 from dockthread.net.connection_host import RequestSource, ResponseSlot
-from dockthread.policy import Route
+from dockthread.policy import NEVER_RAN, Route
 
 
 class RequestState(Enum):
@@ -70,7 +70,9 @@
     @property
     def may_have_run(self) -> bool:
         """Whether a backend may have executed the request."""
-        return any(attempt.may_have_run for attempt in self.attempts)
+        return any(
+            attempt.may_have_run and attempt.outcome not in NEVER_RAN for attempt in self.attempts
+        )
 
     @property
     def last_outcome(self) -> str:
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -12,6 +12,7 @@
 from dockthread.net.connection_pool import ConnectionPool
 from dockthread.net.context import MAINTENANCE_INTERVAL_MS, IngressContext
 from dockthread.net.request import Request, RequestState, RouteLookup
+from dockthread.net.request_ids import RequestIds
 from dockthread.net.response_queue import ResponseStream
 from dockthread.observer import FAILED, REJECTED, SERVED, Observer
 from dockthread.policy import (
@@ -56,6 +57,7 @@
         context: IngressContext,
         pool: ConnectionPool,
         limits: RequestLimits,
+        request_ids: RequestIds,
     ) -> None:
         self.observer = Observer()
         self.routes: RouteLookup | None = None
@@ -65,6 +67,7 @@
         self.latest_deadline_ms = 0.0  # of all requests accepted so far, also answered ones
         self._last_number = 0
         self._wire_ids_in_flight: set[bytes] = set()
+        self._request_ids = request_ids
         self._clock = context.clock
         self._call_at = context.timers.call_at
         self._lifecycle = context.lifecycle
@@ -106,7 +109,7 @@
         time_left_ms = time_budget_ms - transit_time_ms - lag_ms
         if lag_ms and time_left_ms < time_budget_ms * MIN_TIME_LEFT_SHARE:
             return self._reject_at_once(command, "late")
-        if command.wire_id in self._wire_ids_in_flight:
+        if not self._claim_id(command, now + time_left_ms):
             response = resp.encode_error("this id is open already")
             return self.respond_without_policy(command, "duplicate", response)
         self._last_number += 1
@@ -135,6 +138,12 @@
         )
         return request
 
+    def _claim_id(self, command: resp.RequestCommand, deadline_ms: float) -> bool:
+        """Return False if a request with this id is in flight, or must not run again."""
+        if command.wire_id in self._wire_ids_in_flight:
+            return False
+        return command.may_be_repeated or self._request_ids.claim(command.wire_id, deadline_ms)
+
     def _reject_without_capacity(
         self, command: resp.RequestCommand, body_bytes: int
     ) -> ResponseSlot:
@@ -291,7 +300,10 @@
         ):
             del self.by_number[request.number]
             self.body_bytes -= request.command.body_bytes
-            request.command.release_body()
+            command = request.command
+            command.release_body()
+            if not command.may_be_repeated and not request.may_have_run:
+                self._request_ids.release(command.wire_id)
 
     # Requests that end without a reply
 
