--- a/dockthread/lab/soak/clients.py
+++ b/dockthread/lab/soak/clients.py
@@ -66,7 +66,7 @@
         except OSError as error:
             record.ending, record.detail = Ending.UNREACHABLE, type(error).__name__
             return record
-        reading = asyncio.create_task(self._read_answer(reader, record))
+        reading = asyncio.create_task(self.read_answer(reader, record))
         try:
             await self._write(writer, encode_request(record, customer), reading)
             record.written_at = record.written_at or time.monotonic()
@@ -124,7 +124,8 @@
             await asyncio.sleep(0.002)
         drain.cancel()
 
-    async def _read_answer(self, reader: asyncio.StreamReader, record: RequestRecord) -> None:
+    async def read_answer(self, reader: asyncio.StreamReader, record: RequestRecord) -> None:
+        """Read an answer, and record how the request ended."""
         head = b""
         received = 0
         try:
@@ -160,6 +161,52 @@
             record.ended_at = time.monotonic()
 
 
+class KeepingClient:
+    """Keeps one connection, and sends one request after another on it while it stays open.
+
+    If a close crosses a request, it sends that request once more on a new connection.
+    """
+
+    def __init__(self, address: tuple[str, int], journal: Journal) -> None:
+        self._address = address
+        self._journal = journal
+        self._client = SoundClient(address, journal)
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def ask(self, record: RequestRecord, customer: int) -> None:
+        """Send a request on the open connection, or on a new one."""
+        self._journal.add(record)
+        is_used = self._streams is not None
+        try:
+            await self._send(record, customer)
+        except (OSError, RuntimeError) as error:
+            record.ending, record.detail = Ending.CLOSED, type(error).__name__
+        has_crossed = record.ending is Ending.CLOSED and is_used and not record.runs
+        if record.ending not in (Ending.SERVED, Ending.REJECTED, Ending.FAILED):
+            self.close()
+        if has_crossed:
+            with suppress(OSError, RuntimeError):
+                await self._send(record, customer)
+
+    async def _send(self, record: RequestRecord, customer: int) -> None:
+        if self._streams is None:
+            record.ending = Ending.UNREACHABLE
+            self._streams = await asyncio.open_connection(*self._address, limit=LINE_LIMIT)
+        reader, writer = self._streams
+        record.ending = Ending.MISSING
+        record.written_at = time.monotonic()
+        writer.write(encode_request(record, customer))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(record.deadline_s + PATIENCE_S):
+                await self._client.read_answer(reader, record)
+
+    def close(self) -> None:
+        """Close the connection."""
+        streams, self._streams = self._streams, None
+        if streams is not None:
+            streams[1].transport.abort()
+
+
 async def _discard(reader: asyncio.StreamReader) -> None:
     with suppress(OSError):
         while await reader.read(READ_BYTES):
