Tell a backend's process from another one at its address, and restarts by a stepped clock

Cause: a backend was identified by its uid alone, so two uids at one address were two backends, and work for the old one (its zone, its keys, its warm-up) went to the new process. A restart was recognized by a later start, so one after a step of the wall clock by an hour was either not seen, or its warm-up was counted from an hour ago or from an hour ahead.

Change: an address belongs to one process. If another backend is listed at the address of a listed one, the one that started or appeared last has it and the other counts as removed, also in later lists that still name both. A process is identified by the boot_ms listed for it; its start is converted once, by the wall clock of that moment, and is never in the future or before that of the process it replaces.

--- a/dockthread/clock.py
+++ b/dockthread/clock.py
@@ -35,6 +35,16 @@
         """Return the system's Unix time in ms, for display; it follows clock adjustments."""
         return time.time() * MS_PER_S
 
+    def from_current_unix(self, unix_ms: float) -> float:
+        """Convert a Unix time of the machines' present clock, which may have been stepped.
+
+        The result is at most now: nothing has happened in the future. 0, an unknown time, stays 0.
+        """
+        if not unix_ms:
+            return 0.0
+        now = self.now()
+        return min(now, unix_ms - (self.unix() - now))
+
     def from_unix(self, unix_ms: float) -> float:
         """Convert a Unix time to a time on this clock; 0, an unknown time, stays 0."""
         return unix_ms - self._unix_offset if unix_ms else 0.0
--- a/dockthread/net/endpoint_list.py
+++ b/dockthread/net/endpoint_list.py
@@ -32,6 +32,9 @@
     address_text: str  # as sent by discovery; takes a third of the memory of an `Address`
     state: BackendState
     started_ms: float  # start of its process on the ingress's clock; 0 if not known
+    boot_ms: float = 0.0  # Unix time of that start as listed, which identifies the process
+    # Whether a newer backend was listed at its address, which only one process can have.
+    is_superseded: bool = False
     removed_at_ms: float = inf
     revision: int = 0  # revision of the newest list that contained the backend
     last_listed: Endpoint | None = None  # the latest entry from discovery
@@ -44,7 +47,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new requests may be sent to the backend."""
-        return self.state is BackendState.READY
+        return self.state is BackendState.READY and not self.is_superseded
 
 
 class EndpointList:
@@ -57,6 +60,12 @@
     restarted its revisions. Such a list may remove a backend, but makes a draining or removed
     backend ready again only if its process started later than the known one.
 
+    A process is identified by the start that is listed for it, not by the order of the starts: the
+    machines' clock may be stepped back between two. A start is converted once, when it is first
+    listed, by the clock of that moment. An address belongs to one process. If another backend is
+    listed at the address of a listed one, the one that started or appeared last has it, and nothing
+    is sent to the other, whose process is gone.
+
     `on_moved` is called with each backend that was removed, restarted or got another address.
     """
 
@@ -66,6 +75,7 @@
         self._by_uid: dict[str, BackendRecord] = {}
         self.by_number: dict[int, BackendRecord] = {}
         self._removed: dict[int, BackendRecord] = {}
+        self._number_by_address: dict[str, int] = {}
         self._last_number = 0
         self.revision = 0
         self.is_partial = False  # the first list is long and only partly applied
@@ -153,7 +163,7 @@
         return self._apply(self.codec.decode_update(message), cached)
 
     def _apply(self, update: EndpointListUpdate, cached: bool = False) -> EndpointsListed:
-        endpoints = tuple([self._apply_entry(entry, update.revision) for entry in update.endpoints])
+        endpoints = self._apply_entries(update.endpoints, update.revision)
         self.revision = update.revision
         self.is_partial = False
         kind = EndpointListKind.CHANGES
@@ -186,9 +196,8 @@
         while remaining:
             part = remaining[-ENTRIES_PER_PART:]
             remaining[-ENTRIES_PER_PART:] = []
-            endpoints = tuple(
-                [self._apply_entry(entry, update.revision) for entry in reversed(part)]
-            )
+            part.reverse()
+            endpoints = self._apply_entries(part, update.revision)
             listed.update([endpoint.backend for endpoint in endpoints])
             yield EndpointsListed(EndpointListKind.CHANGES, endpoints)
         removed = self._remove_unlisted(listed) if update.is_full else []
@@ -205,60 +214,118 @@
             record.state = BackendState.REMOVED
             record.removed_at_ms = self._clock.now()
             self._removed[record.number] = record
+            self._release_address(record)
             if record.last_listed is not None:
                 record.last_listed = replace(record.last_listed, state=BackendState.REMOVED)
                 removed.append(record.last_listed)
             self.on_moved(record)
         return removed
 
+    def _apply_entries(self, entries: list[ListedEndpoint], revision: int) -> tuple[Endpoint, ...]:
+        """Apply entries of a list, and return the endpoints for the policy engine."""
+        endpoints = [self._apply_entry(entry, revision) for entry in entries]
+        superseded = self._resolve_addresses(entries)
+        if not superseded:
+            return tuple(endpoints)
+        numbers = {record.number for record in superseded}
+        endpoints = [endpoint for endpoint in endpoints if endpoint.backend not in numbers]
+        endpoints += [
+            replace(record.last_listed, state=BackendState.REMOVED)
+            for record in superseded
+            if record.last_listed is not None
+        ]
+        return tuple(endpoints)
+
+    def _resolve_addresses(self, entries: list[ListedEndpoint]) -> list[BackendRecord]:
+        """Give each address to the newest backend listed at it; return those that lost theirs."""
+        superseded: list[BackendRecord] = []
+        for entry in entries:
+            record = self._by_uid[entry.uid]
+            if record.state is BackendState.REMOVED:
+                continue
+            owner_number = self._number_by_address.setdefault(record.address_text, record.number)
+            if owner_number == record.number:
+                continue
+            owner = self.by_number[owner_number]
+            older, newer = sorted(
+                (owner, record), key=lambda record: (record.started_ms, record.number)
+            )
+            self._number_by_address[record.address_text] = newer.number
+            older.is_superseded = True
+            superseded.append(older)
+            self.on_moved(older)
+        return superseded
+
+    def _release_address(self, record: BackendRecord) -> None:
+        """Forget that a backend has its address."""
+        record.is_superseded = False
+        if self._number_by_address.get(record.address_text) == record.number:
+            del self._number_by_address[record.address_text]
+
     def _apply_entry(self, listed: ListedEndpoint, revision: int) -> Endpoint:
         """Apply one entry of a list, and return the endpoint for the policy engine."""
-        started_ms = listed.started_at * 1000.0 if listed.started_at else 0.0
         record = self._by_uid.get(listed.uid)
         if record is None:
-            record = self._add(listed, started_ms)
+            record = self._add(listed)
             record.revision = revision
-        elif record.last_listed is not None and (
-            revision < record.revision
+        elif (
+            record.last_listed is not None
+            and revision < record.revision
             and listed.state is BackendState.READY
-            and started_ms <= record.started_ms
+            and listed.boot_ms <= record.boot_ms
         ):
             # An older list must not make a draining or removed backend ready again.
             return self._with_exclusion(record.last_listed, listed.uid)
         else:
-            self._update(record, listed, started_ms, revision)
+            self._update(record, listed, revision)
+        listed = listed._replace(started_at=record.started_ms / 1000.0)
         if record.state is BackendState.REMOVED:
             record.removed_at_ms = min(record.removed_at_ms, self._clock.now())
             self._removed[record.number] = record
+            self._release_address(record)
         else:
             record.removed_at_ms = inf
             self._removed.pop(record.number, None)
         record.last_listed = listed.to_policy_endpoint(record.number)
         return self._with_exclusion(record.last_listed, listed.uid)
 
-    def _add(self, listed: ListedEndpoint, started_ms: float) -> BackendRecord:
+    def _add(self, listed: ListedEndpoint) -> BackendRecord:
         self._last_number += 1
         number = self._last_number
-        record = BackendRecord(number, listed.uid, listed.address_text, listed.state, started_ms)
+        record = BackendRecord(
+            number,
+            listed.uid,
+            listed.address_text,
+            listed.state,
+            listed.started_at * 1000.0,
+            listed.boot_ms,
+        )
         self._by_uid[listed.uid] = record
         self.by_number[number] = record
         return record
 
-    def _update(
-        self, record: BackendRecord, listed: ListedEndpoint, started_ms: float, revision: int
-    ) -> None:
+    def _update(self, record: BackendRecord, listed: ListedEndpoint, revision: int) -> None:
         # For a restarted backend only this list applies, so its revision is taken even if it is
         # lower. Otherwise the highest revision is kept.
-        is_restarted = started_ms > record.started_ms
+        is_restarted = bool(listed.boot_ms) and listed.boot_ms != record.boot_ms
         record.revision = revision if is_restarted else max(revision, record.revision)
         before = (record.address_text, record.is_ready, record.started_ms)
+        if is_restarted or record.address_text != listed.address_text:
+            self._release_address(record)
         record.address_text = listed.address_text
         record.state = listed.state
-        record.started_ms = started_ms
+        if is_restarted:
+            started_ms = listed.started_at * 1000.0
+            # A start that seems to be no later was told by a clock that was stepped back.
+            is_later = started_ms > record.started_ms
+            record.started_ms = started_ms if is_later else self._clock.now()
+            record.boot_ms = listed.boot_ms
         if before != (record.address_text, record.is_ready, record.started_ms):
             self.on_moved(record)
 
     def _with_exclusion(self, endpoint: Endpoint, uid: str) -> Endpoint:
+        if self._by_uid[uid].is_superseded:
+            return replace(endpoint, state=BackendState.REMOVED)
         if uid in self.excluded_uids and endpoint.state is BackendState.READY:
             return replace(endpoint, state=BackendState.DRAINING)
         return endpoint
--- a/dockthread/net/endpoint_list_codec.py
+++ b/dockthread/net/endpoint_list_codec.py
@@ -33,6 +33,7 @@
     cell: int
     weight: float
     started_at: float  # seconds on the ingress's clock; 0 if not known
+    boot_ms: float = 0.0  # Unix time of the start as listed, which identifies the process
 
     def to_policy_endpoint(self, number: int) -> Endpoint:
         """Return the endpoint for the policy engine; `number` is the engine's number for it."""
@@ -111,5 +112,6 @@
             self._kinds.get(entry.get("model", ""), len(self._kinds)),
             int(entry.get("pod_group", 0)),
             1.0 if weight == 1.0 else weight,  # a shared float object saves memory
-            self._clock.from_unix(boot_ms) / 1000.0 if boot_ms else 0.0,
+            self._clock.from_current_unix(boot_ms) / 1000.0,
+            boot_ms,
         )
--- a/tests/net/test_endpoint_list.py
+++ b/tests/net/test_endpoint_list.py
@@ -12,7 +12,7 @@
 from dockthread.config.ingress_config import Names
 from dockthread.net.endpoint_list import EndpointList
 from dockthread.net.endpoint_list_codec import DiscoveryError
-from dockthread.policy import BackendState, EndpointListKind
+from dockthread.policy import BackendState, EndpointListKind, EndpointsListed
 from tests.loopback import (
     CUSTOMER_KEY,
     SETTINGS,
@@ -171,3 +171,58 @@
             assert [ingress.endpoints.zone_of(f"x-{number}") for number in range(4)] == [""] * 4
 
     run(scenario())
+
+
+def listed_states(event: EndpointsListed) -> dict[int, BackendState]:
+    return {endpoint.backend: endpoint.state for endpoint in event.endpoints}
+
+
+def test_a_new_backend_at_the_address_of_another_is_not_taken_for_it() -> None:
+    endpoints = new_endpoint_list()
+    moved: list[str] = []
+    endpoints.on_moved = lambda record: moved.append(record.uid)
+    endpoints.apply(message(1, target("old", 1), target("other", 2), full=True))
+    old, other, new = 1, 2, 3
+    event = endpoints.apply(message(2, target("new", 1)))
+    assert listed_states(event) == {old: BackendState.REMOVED, new: BackendState.READY}
+    assert [endpoints.is_ready(number) for number in (old, other, new)] == [False, True, True]
+    assert moved == ["old"]
+    # A late list still has both; the order of its entries says nothing.
+    for order in ([target("new", 1), target("old", 1)], [target("old", 1), target("new", 1)]):
+        event = endpoints.apply(message(3, *order, target("other", 2), full=True))
+        assert listed_states(event)[old] is BackendState.REMOVED
+        assert [endpoints.is_ready(number) for number in (old, other, new)] == [False, True, True]
+    # Once the old one is listed elsewhere, it is used again.
+    endpoints.apply(message(4, target("old", 5)))
+    assert [endpoints.is_ready(number) for number in (old, other, new)] == [True, True, True]
+
+
+def test_backends_that_exchange_their_addresses_are_both_used() -> None:
+    endpoints = new_endpoint_list()
+    endpoints.apply(message(1, target("a", 1), target("b", 2), full=True))
+    endpoints.apply(message(2, target("a", 2), target("b", 1)))
+    assert endpoints.is_ready(1) and endpoints.is_ready(2)
+
+
+def test_a_restart_is_recognized_although_the_wall_clock_was_stepped() -> None:
+    class SteppedClock(ManualClock):
+        step_ms = 0.0
+
+        def unix(self) -> float:
+            return super().unix() + self.step_ms
+
+    hour_ms = 3_600_000.0
+    for step_ms in (-hour_ms, hour_ms):
+        clock = SteppedClock()
+        endpoints = new_endpoint_list(clock)
+        booted_ms = round(clock.unix()) - 60_000
+        (first,) = endpoints.apply(message(1, target("a", 1, boot_ms=booted_ms))).endpoints
+        clock.advance(1_000)
+        clock.step_ms = step_ms
+        (same,) = endpoints.apply(message(2, target("a", 1, boot_ms=booted_ms))).endpoints
+        assert same.started_at == first.started_at
+        restarted_ms = round(clock.unix()) - 100
+        (restarted,) = endpoints.apply(message(3, target("a", 1, boot_ms=restarted_ms))).endpoints
+        age_s = clock.now() / 1000 - restarted.started_at
+        assert restarted.started_at > first.started_at
+        assert 0 <= age_s <= 0.2
