Do not cut off long answers or half-read requests at the end of a drain

A drain closed all connections 0.5 s after the latest deadline, also under an answer that its backend was still giving, and half-closed connections in whose middle a request was arriving when the drain began.

Cause: a drain took every request to be over by its deadline, and a connection with no whole command to be between two requests.

--- a/dockthread/net/listener.py
+++ b/dockthread/net/listener.py
@@ -188,14 +188,23 @@
                 connection.end_gracefully()
 
     def end_all(self) -> None:
-        """Gracefully end every connection that has no pending response."""
+        """Gracefully end every connection between two requests.
+
+        A request that has begun to arrive is read to its end and gets an answer.
+        """
         for connection in list(self.connections):
-            connection.end_gracefully()
+            if not connection.is_mid_command:
+                connection.end_gracefully()
 
-    def close_all(self) -> None:
-        """Close every connection immediately."""
+    def close_all(self) -> bool:
+        """Close every connection, but for those whose backend still gives a long answer.
+
+        Returns whether none is left.
+        """
         for connection in list(self.connections):
-            connection.close()
+            if not connection.is_streaming:
+                connection.close()
+        return not self.connections
 
     def _on_closed(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
