Count and log why connections, attempts and requests are given up, and show the memory

Change: /_vars has app_drops by reason (response_cut, backend_stalled, client_stalled, client_left, command_timeout, no_memory, repeated_id), the resident size and its limit, reserved and all blocks, and client connections. At its start an ingress logs the bounds that it worked out; a repeated id, an answer that broke off and a backend that lost its address to another are logged with their ids. Backends missing from a full list are removed also if they had lost their address before.

--- a/dockthread/admin/ingress_admin.py
+++ b/dockthread/admin/ingress_admin.py
@@ -16,6 +16,7 @@
     save_detached_backends,
 )
 from dockthread.admin.prometheus import MetricsSnapshot, render_metrics
+from dockthread.process_memory import BYTES_PER_MB, resident_bytes
 
 if TYPE_CHECKING:
     from dockthread.admin.commands import Command, Response
@@ -48,6 +49,20 @@
         ...
 
 
+class ReservedBlocks(Protocol):
+    """The part of the pool of blocks that the metrics show."""
+
+    @property
+    def reserved(self) -> int:
+        """The number of reserved blocks."""
+        ...
+
+    @property
+    def max_blocks(self) -> int:
+        """The maximum number of blocks."""
+        ...
+
+
 class AdministeredIngress(Protocol):
     """The part of an ingress that the commands use."""
 
@@ -76,6 +91,16 @@
         """The endpoint list of the ingress."""
         ...
 
+    @property
+    def body_blocks(self) -> ReservedBlocks:
+        """The blocks for bodies and values."""
+        ...
+
+    @property
+    def client_connection_count(self) -> int:
+        """The number of open client connections."""
+        ...
+
     @property
     def clock(self) -> Clock:
         """The clock of the ingress."""
@@ -148,6 +173,12 @@
                 pool_ejected=ingress.endpoints.excluded_count,
                 config_applied=self.reloads.applied,
                 config_rejected=self.reloads.rejected,
+                drops=ingress.traffic.drops,
+                memory_bytes=resident_bytes(),
+                memory_limit_bytes=int(ingress.config.memory_mb * BYTES_PER_MB),
+                blocks_reserved=ingress.body_blocks.reserved,
+                blocks_max=ingress.body_blocks.max_blocks,
+                client_connections=ingress.client_connection_count,
             )
         )
 
--- a/dockthread/net/action_executor.py
+++ b/dockthread/net/action_executor.py
@@ -13,7 +13,7 @@
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import Request, RequestState
 from dockthread.net.requests_in_flight import RequestTable
-from dockthread.observer import FAILED, REJECTED, Observer
+from dockthread.observer import FAILED, REJECTED, DropReason, Observer
 from dockthread.policy import (
     AddToCounter,
     CancelAttempt,
@@ -95,6 +95,7 @@
             self._pool.end(attempt, Outcome.NOT_SENT)
         elif request.connection.has_disconnected():
             request.connection.close_soon()
+            self._traffic.drops[DropReason.CLIENT_LEFT] += 1
             self._pool.end(attempt, Outcome.NOT_SENT)
         else:
             self._pool.start(attempt)
--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -30,6 +30,7 @@
 from dockthread.net.input_clock import InputClock
 from dockthread.net.peer_state import has_peer_closed
 from dockthread.net.response_queue import ResponseQueue, ResponseSlot, ResponseStream
+from dockthread.observer import DropReason
 
 READ_BYTES = 1024  # Size of a connection's own read buffer; most reads are a single command.
 # Size of a second read if the first one filled the buffer.
@@ -187,25 +188,35 @@
             if self._close_deadline_ms < now:
                 self.close()
             return
-        if self._responses.is_stalled(now) or (not self.is_idle and self.has_disconnected()):
+        if self._responses.is_stalled(now):
+            self._count(DropReason.CLIENT_STALLED)
             self.close()
             return
+        if not self.is_idle and self.has_disconnected():
+            self.close()
+            return
+        if self._is_input_overdue(now):
+            self._end_overdue_input()
+
+    def _is_input_overdue(self, now: float) -> bool:
+        """Return whether the client should have sent its first or the rest of a command."""
         is_mid_command = self.is_mid_command
         if self.commands_read and not is_mid_command:
-            return
+            return False
         timeout_ms = COMMAND_TIMEOUT_MS if is_mid_command else FIRST_COMMAND_TIMEOUT_MS
-        started_ms = self.command_started_ms
-        if self._body is not None:
-            started_ms = self._body.waiting_since_ms
         if self.has_input():  # the ingress itself is late: the awaited command may be unread
             timeout_ms *= 2
-        if now - started_ms <= timeout_ms:
-            return
-        if not is_mid_command:
+        body = self._body
+        waiting_since_ms = self.command_started_ms if body is None else body.waiting_since_ms
+        return now - waiting_since_ms > timeout_ms
+
+    def _end_overdue_input(self) -> None:
+        if not self.is_mid_command:
             self.end_gracefully()
             return
         if self._body is None or not self._body.is_rejected:
             self._responses.append(ResponseSlot(resp.COMMAND_TIMEOUT))
+        self._count(DropReason.COMMAND_TIMEOUT)
         self._stop_reading_body()
         self._finish()
         self.flush()
@@ -267,6 +278,9 @@
         """
         self._loop.call_soon(self.close)
 
+    def _count(self, reason: DropReason) -> None:
+        self._host.traffic.drops[reason] += 1
+
     def _abandon(self, unanswered: list[ResponseSlot]) -> None:
         for slot in unanswered:
             self._host.requests.on_client_disconnected(slot)
--- a/dockthread/net/connection_pool.py
+++ b/dockthread/net/connection_pool.py
@@ -14,7 +14,7 @@
 from dockthread.net.backend_exchange import READ_BYTES, BackendExchange
 from dockthread.net.context import IngressContext
 from dockthread.net.endpoint_list import BackendRecord
-from dockthread.observer import Observer
+from dockthread.observer import DropReason, Observer
 from dockthread.policy import IDLE_CLOSE_FRACTION, NEVER_RAN, Outcome
 
 # Time without a byte within a reply after which the attempt has failed.
@@ -168,9 +168,11 @@
             else:
                 timeout_ms, outcome = REPLY_STALL_TIMEOUT_MS, Outcome.ERROR
             if now - since_ms > timeout_ms:
+                self._traffic.drops[DropReason.BACKEND_STALLED] += 1
                 logger.bind(worker=attempt.backend, uid=connection.backend.uid).debug(
-                    "request {} stalled within a reply; it ends as {}",
-                    attempt.request_number,
+                    "backend {} stalled within its reply to request {}; the attempt ends as {}",
+                    connection.backend.uid,
+                    attempt.command.wire_id.decode(),
                     outcome.value,
                 )
                 self.end(attempt, outcome)
@@ -258,6 +260,7 @@
             return False
         if attempt.source is not None and attempt.source.has_disconnected():
             attempt.source.close_soon()
+            self._traffic.drops[DropReason.CLIENT_LEFT] += 1
             self._finish(attempt, resp.BackendReply(Outcome.NOT_SENT))
             return False
         await self.exchange.send(connection, attempt, time_left_ms)
--- a/dockthread/net/endpoint_list.py
+++ b/dockthread/net/endpoint_list.py
@@ -7,6 +7,8 @@
 from math import inf
 from typing import Any
 
+from loguru import logger
+
 from dockthread.clock import Clock
 from dockthread.config.address import Address
 from dockthread.config.ingress_config import Names
@@ -168,7 +170,7 @@
         self.is_partial = False
         kind = EndpointListKind.CHANGES
         if update.is_full:
-            self._remove_unlisted({endpoint.backend for endpoint in endpoints})
+            self._remove_unlisted(self._numbers(update.endpoints))
             kind = EndpointListKind.FULL
         return EndpointsListed(EndpointListKind.CACHED if cached else kind, endpoints)
 
@@ -198,13 +200,17 @@
             remaining[-ENTRIES_PER_PART:] = []
             part.reverse()
             endpoints = self._apply_entries(part, update.revision)
-            listed.update([endpoint.backend for endpoint in endpoints])
+            listed |= self._numbers(part)
             yield EndpointsListed(EndpointListKind.CHANGES, endpoints)
         removed = self._remove_unlisted(listed) if update.is_full else []
         self.revision = update.revision
         self.is_partial = False
         yield EndpointsListed(EndpointListKind.CHANGES, tuple(removed))
 
+    def _numbers(self, entries: list[ListedEndpoint]) -> set[int]:
+        """Return the numbers of the backends of entries that were applied."""
+        return {self._by_uid[entry.uid].number for entry in entries}
+
     def _remove_unlisted(self, listed: set[int]) -> list[Endpoint]:
         """Mark backends missing from a full list as removed; return their endpoints."""
         removed: list[Endpoint] = []
@@ -251,6 +257,13 @@
                 (owner, record), key=lambda record: (record.started_ms, record.number)
             )
             self._number_by_address[record.address_text] = newer.number
+            if not older.is_superseded:
+                logger.info(
+                    "backend {} has the address {} of {}, which is not used any more",
+                    newer.uid,
+                    newer.address_text,
+                    older.uid,
+                )
             older.is_superseded = True
             superseded.append(older)
             self.on_moved(older)
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -24,7 +24,7 @@
 from dockthread.net.gossip_transport import GossipTransport
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.listener import Listener
-from dockthread.net.memory import BYTES_PER_MB, MemoryBudget, resident_bytes
+from dockthread.net.memory import MemoryBudget
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import RouteLookup
@@ -33,6 +33,7 @@
 from dockthread.net.timers import Timers
 from dockthread.observer import IsolatedObserver, Observer, Traffic
 from dockthread.policy import PolicyEngine, PolicySettings
+from dockthread.process_memory import BYTES_PER_MB, resident_bytes
 
 # Time after the signal to stop during which the load balancer may still send new clients here.
 LINGER_MS = 500.0
@@ -296,6 +297,7 @@
         self.address = self.listener.listen(
             config.name, config.listen, config.inherited_listener_fd
         )
+        logger.info("memory of {} MB: {}", config.memory_mb, self.memory)
         self.watch.start(config.known_endpoints, self.call_at)
         for name, plan in zip(config.names.plans, config.policy_settings.plans, strict=True):
             self.observer.event(
@@ -344,7 +346,13 @@
             connections,
             unanswered,
         )
-        self.listener.close_all()
+        self._close_unless_streaming()
+
+    def _close_unless_streaming(self) -> None:
+        """Close all connections; wait for answers that their backends still give."""
+        if not self.listener.close_all():
+            next_ms = self.clock.now() + MAINTENANCE_INTERVAL_MS
+            self.call_at(next_ms, self._close_unless_streaming)
 
     def _close(self) -> None:
         self.listener.socket.close()
--- a/dockthread/net/memory.py
+++ b/dockthread/net/memory.py
@@ -8,16 +8,12 @@
 
 from __future__ import annotations
 
-import os
 from dataclasses import dataclass
-from pathlib import Path
 
 from dockthread.net.descriptor_budget import DescriptorBudget
 from dockthread.net.resp.limits import MAX_HEAD_BYTES
 
-BYTES_PER_MB = 1_000_000
 BYTES_PER_KIB = 1024
-STATM = Path("/proc/self/statm")  # Sizes of this process in pages; the second is the resident size.
 
 BLOCK_BYTES = 16 * BYTES_PER_KIB
 # Buffers of a response that is passed on, the smallest and the largest.
@@ -43,15 +39,6 @@
 MIN_BLOCKS = 16
 
 
-def resident_bytes() -> int:
-    """Return the resident size of this process; 0 if the system does not tell."""
-    try:
-        pages = int(STATM.read_text().split()[1])
-    except (OSError, ValueError, IndexError):
-        return 0
-    return pages * os.sysconf("SC_PAGE_SIZE")
-
-
 @dataclass(frozen=True, slots=True)
 class MemoryBudget:
     """Bounds on what an ingress may hold.
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -14,7 +14,7 @@
 from dockthread.net.request import Request, RequestState, RouteLookup
 from dockthread.net.request_ids import RequestIds
 from dockthread.net.response_queue import ResponseStream
-from dockthread.observer import FAILED, REJECTED, SERVED, Observer
+from dockthread.observer import FAILED, REJECTED, SERVED, DropReason, Observer
 from dockthread.policy import (
     AttemptEnded,
     ClientDisconnected,
@@ -110,6 +110,8 @@
         if lag_ms and time_left_ms < time_budget_ms * MIN_TIME_LEFT_SHARE:
             return self._reject_at_once(command, "late")
         if not self._claim_id(command, now + time_left_ms):
+            self._traffic.drops[DropReason.REPEATED_ID] += 1
+            logger.info("request {} was sent before; it is not run again", command.wire_id.decode())
             response = resp.encode_error("this id is open already")
             return self.respond_without_policy(command, "duplicate", response)
         self._last_number += 1
@@ -155,6 +157,7 @@
 
     def reject_without_memory(self, command: resp.RequestCommand) -> ResponseSlot:
         """Reject a request whose body there is no memory for."""
+        self._traffic.drops[DropReason.NO_MEMORY] += 1
         return self._reject_at_once(command, "draining" if self._lifecycle.draining else "bodies")
 
     def _reject_at_once(self, command: resp.RequestCommand, reason: str) -> ResponseSlot:
@@ -245,8 +248,11 @@
 
     def _end_response(self, request: Request) -> None:
         """End a response whose backend broke off, so that its client can tell it is not whole."""
-        logger.bind(request=request.number).info(
-            "request {} ended within its response: {}", request.number, request.last_outcome
+        self._traffic.drops[DropReason.RESPONSE_CUT] += 1
+        logger.info(
+            "request {} ended within its response: {}",
+            request.command.wire_id.decode(),
+            request.last_outcome,
         )
         self._record_answer(request, FAILED, request.last_outcome)
         request.connection.abort_response()
--- a/dockthread/observer.py
+++ b/dockthread/observer.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 from typing import Any
 
 from loguru import logger
@@ -25,6 +26,21 @@
 OUTCOMES = (SERVED, REJECTED, FAILED)
 
 
+class DropReason(Enum):
+    """Why a connection or an attempt was given up, as metrics show it."""
+
+    RESPONSE_CUT = "response_cut"  # the backend broke off within a long answer
+    BACKEND_STALLED = "backend_stalled"  # it wrote nothing for too long within a reply
+    CLIENT_STALLED = "client_stalled"  # it read nothing for too long
+    CLIENT_LEFT = "client_left"  # an attempt was not sent, because the client had closed
+    COMMAND_TIMEOUT = "command_timeout"  # a command was not completed in time
+    NO_MEMORY = "no_memory"  # there were no blocks for the body of a request
+    REPEATED_ID = "repeated_id"  # a request had an id that must not run again
+
+    # Reasons are hashed for each count; Enum's own hash is written in Python.
+    __hash__ = object.__hash__
+
+
 class Traffic:
     """Counters of one ingress since its start: bytes, connections, attempts, gossip and requests.
 
@@ -39,6 +55,7 @@
         gossip_rejected: Number of gossip messages that were too long or from an unknown sender.
         commands_rejected: Number of client commands that could not be served.
         outcomes: Number of completed requests by outcome and class number.
+        drops: Number of connections and attempts that were given up, by reason.
     """
 
     __slots__ = (
@@ -51,6 +68,7 @@
         "client_bytes_out",
         "client_connections_opened",
         "commands_rejected",
+        "drops",
         "gossip_received",
         "gossip_rejected",
         "gossip_sent",
@@ -72,6 +90,7 @@
         self.gossip_sent = 0
         self.gossip_rejected = 0
         self.commands_rejected = 0
+        self.drops = dict.fromkeys(DropReason, 0)
         self.outcomes: dict[str, list[int]] = {outcome: [] for outcome in OUTCOMES}
 
     def ensure_classes(self, count: int) -> None:
