Keep both backends that one message lists at one address, unless their starts differ

Cause: the rule that an address belongs to one process also removed one of two backends that the same message lists there, although nothing tells which is older (three tests of long lists use one address).

Change: the order in which backends appeared at an address decides, then their starts; if both are equal, both are used.

--- a/dockthread/net/endpoint_list.py
+++ b/dockthread/net/endpoint_list.py
@@ -37,6 +37,7 @@
     boot_ms: float = 0.0  # Unix time of that start as listed, which identifies the process
     # Whether a newer backend was listed at its address, which only one process can have.
     is_superseded: bool = False
+    address_since: int = 0  # count of the update in which this process was first listed there
     removed_at_ms: float = inf
     revision: int = 0  # revision of the newest list that contained the backend
     last_listed: Endpoint | None = None  # the latest entry from discovery
@@ -52,6 +53,11 @@
         return self.state is BackendState.READY and not self.is_superseded
 
 
+def _by_appearance(record: BackendRecord) -> tuple[int, float]:
+    """Return what orders the backends that are listed at one address, the latest last."""
+    return record.address_since, record.started_ms
+
+
 class EndpointList:
     """The listed backends and the recently removed ones, keyed by the policy engine's numbers.
 
@@ -65,8 +71,9 @@
     A process is identified by the start that is listed for it, not by the order of the starts: the
     machines' clock may be stepped back between two. A start is converted once, when it is first
     listed, by the clock of that moment. An address belongs to one process. If another backend is
-    listed at the address of a listed one, the one that started or appeared last has it, and nothing
-    is sent to the other, whose process is gone.
+    listed at the address of a listed one, the one that appeared there last has it, and nothing is
+    sent to the other, whose process is gone. Of two that appear in one update it is the one that
+    started last; if the list does not tell them apart, both are used.
 
     `on_moved` is called with each backend that was removed, restarted or got another address.
     """
@@ -78,6 +85,7 @@
         self.by_number: dict[int, BackendRecord] = {}
         self._removed: dict[int, BackendRecord] = {}
         self._number_by_address: dict[str, int] = {}
+        self._updates = 0  # number of messages applied
         self._last_number = 0
         self.revision = 0
         self.is_partial = False  # the first list is long and only partly applied
@@ -162,6 +170,7 @@
         Raises:
             DiscoveryError: The message is malformed.
         """
+        self._updates += 1
         return self._apply(self.codec.decode_update(message), cached)
 
     def _apply(self, update: EndpointListUpdate, cached: bool = False) -> EndpointsListed:
@@ -186,6 +195,7 @@
             DiscoveryError: The message is malformed and was not applied at all.
         """
         update = self.codec.decode_update(message)
+        self._updates += 1
         remaining = update.endpoints
         if len(remaining) <= ENTRIES_PER_PART:
             yield self._apply(update)
@@ -253,9 +263,9 @@
             if owner_number == record.number:
                 continue
             owner = self.by_number[owner_number]
-            older, newer = sorted(
-                (owner, record), key=lambda record: (record.started_ms, record.number)
-            )
+            older, newer = sorted((owner, record), key=_by_appearance)
+            if _by_appearance(older) == _by_appearance(newer):
+                continue
             self._number_by_address[record.address_text] = newer.number
             if not older.is_superseded:
                 logger.info(
@@ -312,6 +322,7 @@
             listed.state,
             listed.started_at * 1000.0,
             listed.boot_ms,
+            address_since=self._updates,
         )
         self._by_uid[listed.uid] = record
         self.by_number[number] = record
@@ -325,6 +336,7 @@
         before = (record.address_text, record.is_ready, record.started_ms)
         if is_restarted or record.address_text != listed.address_text:
             self._release_address(record)
+            record.address_since = self._updates
         record.address_text = listed.address_text
         record.state = listed.state
         if is_restarted:
