Cancel deadline timers of ended requests, and bound what discovery and operators may send

Cause: a timer for the deadline was kept until the deadline, and the client names it: up to 10,000 s for a request that is answered in a millisecond, 0.7 KB each in the engine and the host. On the related paths: 4 MiB of discovery's input without an entry, which parsed take ten times as much, and 48 management connections of 64 KiB and 16 KiB of buffer each, both over the reserve at 32 MB.

The memory that the configured list will take counts as held at the start.

--- a/dockthread/admin/server.py
+++ b/dockthread/admin/server.py
@@ -25,10 +25,10 @@
 MAX_CONNECTIONS = 48
 
 # Maximum size of a request, which bounds the memory that a client can use.
-MAX_REQUEST_BYTES = 64 * 1024
+MAX_REQUEST_BYTES = 8 * 1024
 
 # Maximum size of one read.
-READ_BUFFER_BYTES = 16_384
+READ_BUFFER_BYTES = 2_048
 
 # Maximum number of connections that the system queues for acceptance.
 BACKLOG = 128
--- a/dockthread/net/action_executor.py
+++ b/dockthread/net/action_executor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 from dockthread.net import resp
@@ -45,6 +45,7 @@
     ) -> None:
         self.observer = Observer()
         self._clock = context.clock
+        self._timers = context.timers
         self._call_at = context.timers.call_at
         self._dispatch = context.dispatch
         self._endpoints = context.endpoints
@@ -132,6 +133,15 @@
     def _set_timer(self, action: SetTimer) -> None:
         self._call_at(action.at * 1000.0, self._dispatch, TimerFired(action.token))
 
+    def discard_cancelled_timers(self, pending: Container[int]) -> None:
+        """Drop the timers of the policy engine that are not among its pending ones."""
+
+        def is_cancelled(arguments: tuple[Any, ...]) -> bool:
+            event = arguments[0] if arguments else None
+            return isinstance(event, TimerFired) and event.token not in pending
+
+        self._timers.discard(is_cancelled)
+
     def _add_to_counter(self, action: AddToCounter) -> None:
         self._counter.add(action.name, action.amount, action.lifetime * 1000.0)
 
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -24,7 +24,7 @@
 from dockthread.net.gossip_transport import GossipTransport
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.listener import Listener
-from dockthread.net.memory import MemoryBudget
+from dockthread.net.memory import BACKEND_BYTES, MemoryBudget
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import RouteLookup
@@ -37,6 +37,7 @@
 
 # Time after the signal to stop during which the load balancer may still send new clients here.
 LINGER_MS = 500.0
+MAX_CANCELLED_TIMERS = 1_000  # Timers kept although they may be cancelled; each is 0.3 KB.
 FINAL_READ_MS = 20.0  # Time to read the requests that wait on the connections accepted last.
 
 
@@ -98,7 +99,9 @@
         descriptors = min(config.max_sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         descriptor_budget = DescriptorBudget.of(descriptors)
         self.memory = MemoryBudget.of(
-            config.memory_mb * BYTES_PER_MB, resident_bytes(), descriptor_budget
+            config.memory_mb * BYTES_PER_MB,
+            resident_bytes() + len(config.known_endpoints["targets"]) * BACKEND_BYTES,
+            descriptor_budget,
         )
         self.budget = self.memory.limited(descriptor_budget)
         settings = _policy_settings(config, clock, self.memory.customers)
@@ -371,6 +374,9 @@
     def _run_periodic_maintenance(self) -> None:
         now = self.clock.now()
         self.call_at(now + MAINTENANCE_INTERVAL_MS, self._run_periodic_maintenance)
+        pending_timers = self.engine.timers.pending
+        if len(self.timers) > 2 * len(pending_timers) + MAX_CANCELLED_TIMERS:
+            self._executor.discard_cancelled_timers(pending_timers)
         self.connection_pool.close_expired()
         self.connection_pool.end_stalled()
         self.endpoints.forget_expired()
--- a/dockthread/net/memory.py
+++ b/dockthread/net/memory.py
@@ -23,6 +23,7 @@
 CLIENT_CONNECTION_BYTES = 7 * BYTES_PER_KIB
 BACKEND_CONNECTION_BYTES = 9 * BYTES_PER_KIB
 REQUEST_BYTES = 5 * BYTES_PER_KIB
+BACKEND_BYTES = 2 * BYTES_PER_KIB  # One entry of the endpoint list.
 CUSTOMER_BYTES = 5 * BYTES_PER_KIB // 4
 
 # Share of the limit that is left for everything without a bound of its own.
--- a/dockthread/net/timers.py
+++ b/dockthread/net/timers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import ceil, inf
 from typing import Any
 
@@ -43,6 +43,11 @@
         if due_ms < self._armed_for_ms - self._resolution_ms:
             self._arm()
 
+    def discard(self, is_cancelled: Callable[[tuple[Any, ...]], bool]) -> None:
+        """Drop the callbacks for whose arguments `is_cancelled` holds."""
+        self._heap = [entry for entry in self._heap if not is_cancelled(entry[3])]
+        heapify(self._heap)
+
     def _arm(self) -> None:
         if self._loop_timer is not None:
             self._loop_timer.cancel()
--- a/dockthread/net/watch_response_parser.py
+++ b/dockthread/net/watch_response_parser.py
@@ -14,7 +14,7 @@
 MAX_ENTRY_BYTES = 400  # Assumed maximum size of a list entry; the average is 178 bytes.
 MAX_OBJECT_BYTES = MAX_LISTED_BACKENDS * MAX_ENTRY_BYTES
 # Maximum size of input without a complete entry. Parsed, it takes up to ten times as much memory.
-MAX_UNREAD_BYTES = 4 * 1024 * 1024
+MAX_UNREAD_BYTES = 1024 * 1024
 MAX_ERROR_CHARS = 100  # Maximum length of a JSON error's text in the log.
 
 HTTP_OK = 200
--- a/dockthread/policy/admission.py
+++ b/dockthread/policy/admission.py
@@ -129,6 +129,7 @@
         self._gossip.report(event.customer, customer)
         if reason is not None:
             self._requests.by_number.pop(event.request, None)
+            self._attempts.cancel_deadline_timer(pending)
             self._routes.leave(pending)
             reject(self._context, event.request, pending.request_class, reason)
             return
--- a/dockthread/policy/attempts.py
+++ b/dockthread/policy/attempts.py
@@ -131,9 +131,17 @@
 
     def close_before_deadline(self, request: int, pending: PendingRequest) -> None:
         """Set a timer that closes a request just before its deadline, unless it is already set."""
-        if not pending.has_deadline_timer:
-            pending.has_deadline_timer = True
-            self._timers.set(self._routes.answer_deadline(pending), self.close, request)
+        if pending.deadline_timer is None:
+            deadline = self._routes.answer_deadline(pending)
+            pending.deadline_timer = self._timers.set(deadline, self.close, request)
+
+    def cancel_deadline_timer(self, pending: PendingRequest) -> None:
+        """Cancel the timer for the deadline of a request that has its final answer.
+
+        The client names the deadline, so the timer could outlive the request by hours.
+        """
+        if pending.deadline_timer is not None:
+            self._timers.cancel(pending.deadline_timer)
 
     # Hedging
 
@@ -305,6 +313,7 @@
         pending = self._requests.by_number.pop(request, None)
         if pending is None:
             return
+        self.cancel_deadline_timer(pending)
         may_cancel = self._context.settings.may_cancel
         for number, attempt in enumerate(pending.attempts):
             if not attempt.is_in_flight:
--- a/dockthread/policy/pending_request.py
+++ b/dockthread/policy/pending_request.py
@@ -46,14 +46,14 @@
         request_class: its class as of its arrival; a reload may have changed the class since then.
         deadline: time at which its client stops waiting, in seconds on the engine's clock.
         attempts: its attempts in the order in which they were sent.
-        has_deadline_timer: whether a timer for its deadline is set.
+        deadline_timer: token of the timer for its deadline; None until it is set.
     """
 
     event: RequestArrived
     request_class: RequestClass
     deadline: float
     attempts: list[Attempt] = field(default_factory=list)
-    has_deadline_timer: bool = False
+    deadline_timer: int | None = None
 
     def first_possible_run(self) -> Attempt | None:
         """Return the first attempt that a backend may have executed, or None."""
--- a/dockthread/policy/timers.py
+++ b/dockthread/policy/timers.py
@@ -23,12 +23,20 @@
         # The callback and its arguments, by token.
         self.pending: dict[int, tuple[Callable[..., None], tuple[int, ...]]] = {}
 
-    def set(self, at: float, callback: Callable[..., None], *arguments: int) -> None:
-        """Schedule `callback(*arguments)` for a time `at`, in seconds on the engine's clock."""
+    def set(self, at: float, callback: Callable[..., None], *arguments: int) -> int:
+        """Schedule `callback(*arguments)` for a time `at`, in seconds on the engine's clock.
+
+        Returns the timer's token.
+        """
         token = self._last_token % MAX_TOKEN + 1
         self._last_token = token
         self.pending[token] = (callback, arguments)
         self._context.actions.append(SetTimer(at, token))
+        return token
+
+    def cancel(self, token: int) -> None:
+        """Forget a timer that is not needed any more; its event, if it still comes, is ignored."""
+        self.pending.pop(token, None)
 
     def on_timer_fired(self, event: TimerFired) -> None:
         """Run the callback of a timer that fired; ignore an unknown token."""
