Split the client connection: discarding input, timeouts, states

Change: input_discarder.py, client_timeouts.py and client_connection_state.py; the check for unread input went to peer_state.py. No behaviour changes.

--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -6,10 +6,9 @@
 `MAX_DISCARDED_BYTES`; then the socket is closed. Closing a socket with unread input would reset the
 connection and could destroy a response that the client has not read yet.
 
-A connection holds little: a small read buffer and at most one incomplete command. Commands are read
-only as they are served, and are not served while responses are unsent or the client sends faster
-than `CommandPacer` allows. What is not read waits in the socket, so the client is slowed down by
-the system's flow control. A close behind unread input shows in the state of the connection.
+A connection holds a small read buffer and at most one incomplete command. Commands are read only as
+they are served, and wait while responses are unsent or the client sends faster than `CommandPacer`
+allows. What is not read waits in the socket, so the system's flow control slows the client down.
 """
 
 from __future__ import annotations
@@ -18,17 +17,19 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
-from enum import Enum
 
 from loguru import logger
 
 from dockthread.net import resp
 from dockthread.net.body_reader import BodyCancelledError, BodyReader
 from dockthread.net.client_commands import CommandHandler
+from dockthread.net.client_connection_state import ClientConnectionState
+from dockthread.net.client_timeouts import is_input_overdue
 from dockthread.net.command_pacer import CommandPacer
 from dockthread.net.connection_host import ConnectionHost
 from dockthread.net.input_clock import InputClock
-from dockthread.net.peer_state import has_peer_closed
+from dockthread.net.input_discarder import InputDiscarder, discard_buffer, discard_once
+from dockthread.net.peer_state import has_peer_closed, has_unread_input
 from dockthread.net.response_queue import ResponseQueue, ResponseSlot, ResponseStream
 from dockthread.observer import DropReason
 
@@ -43,33 +44,7 @@
 # Time between two checks for a close while the connection is not read.
 CLOSE_CHECK_S = 0.05
 
-FIRST_COMMAND_TIMEOUT_MS = 1_500.0  # Time for a new connection to send its first command.
-# Time to complete a command that has begun: a slow client takes 2 s to send the head of one.
-COMMAND_TIMEOUT_MS = 3_000.0
-
 CLOSE_TIMEOUT_MS = 1_000.0  # Time for a client to close after the sending side was shut down.
-# Maximum input discarded after the last command. A client that sends more is disconnected, unless
-# a response is pending.
-MAX_DISCARDED_BYTES = 64 * 1024
-# A client that sends more discarded input than this is flooding, and is read more slowly. Smaller
-# amounts are read sooner, because a close may follow them.
-FLOOD_BYTES = 4 * 1024 * 1024
-DISCARD_PAUSE_S = 0.01  # Pause between reads from a client that keeps sending.
-FLOOD_PAUSE_S = 0.03  # Pause between reads from a client that is flooding.
-# Maximum number of consecutive reads of discarded input. They cover 16 MiB, more than the socket
-# buffers of both machines hold, so a close behind the buffered input is noticed.
-MAX_CONSECUTIVE_DISCARDS = 256
-
-_discard_buffer = bytearray(64 * 1024)  # Shared by all connections; its content is never used.
-
-
-class ClientConnectionState(Enum):
-    """State of a client connection. States are entered in this order; some may be skipped."""
-
-    OPEN = "open"  # commands are read and served
-    FINISHING = "finishing"  # pending responses are sent, no further command is served
-    HALF_CLOSED = "half closed"  # the sending side is shut down, the client has yet to close
-    CLOSED = "closed"
 
 
 class ClientConnection:
@@ -85,7 +60,7 @@
         "_body",
         "_close_deadline_ms",
         "_commands",
-        "_discarded_bytes",
+        "_discarder",
         "_host",
         "_input",
         "_loop",
@@ -125,7 +100,7 @@
         self._input = InputClock(host.event_loop_lag, earliest_arrival_ms)
         self._body: BodyReader | None = None  # set while the body of a request is being read
         self.commands_read = 0
-        self._discarded_bytes = 0
+        self._discarder = InputDiscarder(sock, host.event_loop_lag)
         self.last_read_ms = now
         # Start of the current or latest command, or of the connection before the first command.
         self.command_started_ms = now
@@ -141,11 +116,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no response is pending or unsent.
-
-        A connection with an incomplete command is idle too; otherwise clients that never complete
-        one could occupy all descriptors.
-        """
+        """Whether no response is pending or unsent; a command may be incomplete."""
         return self._responses.is_empty
 
     @property
@@ -154,6 +125,11 @@
         is_open = self._state is ClientConnectionState.OPEN
         return is_open and (self.is_reading_body or not self._reader.is_between_commands)
 
+    @property
+    def waiting_since_ms(self) -> float:
+        """Since when the client owes the rest of a command, or its first one."""
+        return self.command_started_ms if self._body is None else self._body.waiting_since_ms
+
     @property
     def is_reading_body(self) -> bool:
         """Whether the body of a request is being read."""
@@ -171,10 +147,7 @@
 
     def has_input(self) -> bool:
         """Return whether the socket has unread input."""
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return has_unread_input(self.sock)
 
     def has_disconnected(self) -> bool:
         """Return whether the client has closed the connection, even if input is unread."""
@@ -189,34 +162,22 @@
                 self.close()
             return
         if self._responses.is_stalled(now):
-            self._count(DropReason.CLIENT_STALLED)
+            self._host.traffic.drops[DropReason.CLIENT_STALLED] += 1
             self.close()
             return
         if not self.is_idle and self.has_disconnected():
             self.close()
             return
-        if self._is_input_overdue(now):
+        if is_input_overdue(self, now):
             self._end_overdue_input()
 
-    def _is_input_overdue(self, now: float) -> bool:
-        """Return whether the client should have sent its first or the rest of a command."""
-        is_mid_command = self.is_mid_command
-        if self.commands_read and not is_mid_command:
-            return False
-        timeout_ms = COMMAND_TIMEOUT_MS if is_mid_command else FIRST_COMMAND_TIMEOUT_MS
-        if self.has_input():  # the ingress itself is late: the awaited command may be unread
-            timeout_ms *= 2
-        body = self._body
-        waiting_since_ms = self.command_started_ms if body is None else body.waiting_since_ms
-        return now - waiting_since_ms > timeout_ms
-
     def _end_overdue_input(self) -> None:
         if not self.is_mid_command:
             self.end_gracefully()
             return
         if self._body is None or not self._body.is_rejected:
             self._responses.append(ResponseSlot(resp.COMMAND_TIMEOUT))
-        self._count(DropReason.COMMAND_TIMEOUT)
+        self._host.traffic.drops[DropReason.COMMAND_TIMEOUT] += 1
         self._stop_reading_body()
         self._finish()
         self.flush()
@@ -257,8 +218,7 @@
         if self._state is ClientConnectionState.CLOSED:
             return
         self._state = ClientConnectionState.CLOSED
-        with suppress(OSError):  # closing with unread input would reset the connection
-            self.sock.recv_into(_discard_buffer)
+        discard_once(self.sock)  # closing with unread input would reset the connection
         # A cancelled task references its traceback, whose frames reference this connection and its
         # buffer. Dropping the tasks breaks the cycle, so the memory is freed without waiting for
         # the garbage collector.
@@ -278,9 +238,6 @@
         """
         self._loop.call_soon(self.close)
 
-    def _count(self, reason: DropReason) -> None:
-        self._host.traffic.drops[reason] += 1
-
     def _abandon(self, unanswered: list[ResponseSlot]) -> None:
         for slot in unanswered:
             self._host.requests.on_client_disconnected(slot)
@@ -330,7 +287,6 @@
                 if not size:
                     break
                 if self._state is not ClientConnectionState.OPEN:
-                    self._discarded_bytes += size
                     break
                 self._on_input(bytes(buffer[:size]))
                 await self._serve_commands()
@@ -338,8 +294,8 @@
                 ClientConnectionState.FINISHING,
                 ClientConnectionState.HALF_CLOSED,
             ):
-                size = await self._loop.sock_recv_into(self.sock, _discard_buffer)
-                if not size or not await self._discard(size):
+                size = await self._loop.sock_recv_into(self.sock, discard_buffer)
+                if not size or not await self._discarder.discard(size, is_idle=self.is_idle):
                     break
         except OSError:
             pass
@@ -442,35 +398,3 @@
             if self._state is ClientConnectionState.CLOSED or self.has_disconnected():
                 return
             await asyncio.sleep(CLOSE_CHECK_S)
-
-    async def _discard(self, size: int) -> bool:
-        """Discard input that follows the last command; `size` bytes of it have just been read.
-
-        Returns False if the connection is to be closed.
-        """
-        self._discarded_bytes += size
-        if not self._discard_available():
-            return False
-        if self._discarded_bytes <= MAX_DISCARDED_BYTES:
-            return True
-        if self.is_idle:
-            return False
-        # A response is pending, so the connection stays open, but reads are spaced out to save
-        # work. While the event loop lags, its iterations alone are far enough apart.
-        pause_s = DISCARD_PAUSE_S if self._discarded_bytes < FLOOD_BYTES else FLOOD_PAUSE_S
-        await asyncio.sleep(0.0 if self._host.event_loop_lag.is_lagging else pause_s)
-        return True
-
-    def _discard_available(self) -> bool:
-        """Read and discard the input that has arrived; return False if the client closed."""
-        for _ in range(MAX_CONSECUTIVE_DISCARDS):
-            try:
-                size = self.sock.recv_into(_discard_buffer)
-            except (BlockingIOError, InterruptedError):
-                return True
-            except OSError:
-                return False
-            if not size:
-                return False
-            self._discarded_bytes += size
-        return True
--- a/dockthread/net/peer_state.py
+++ b/dockthread/net/peer_state.py
@@ -24,3 +24,11 @@
 def has_peer_closed(sock: socket.socket) -> bool:
     """Return whether the peer has closed or reset the connection; False if that is not known."""
     return _state(sock) in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
+def has_unread_input(sock: socket.socket) -> bool:
+    """Return whether a socket has unread input."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
--- a/tests/net/test_closing_client_connections.py
+++ b/tests/net/test_closing_client_connections.py
@@ -9,7 +9,7 @@
 import pytest
 
 from dockthread.clock import ManualClock
-from dockthread.net import client_connection
+from dockthread.net import client_connection, client_timeouts
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
 from tests.loopback import Backend, command, request, run, running_ingress, until
@@ -31,7 +31,7 @@
 def exceed_first_command_timeout(ingress: Ingress, clock: ManualClock) -> None:
     for connection in list(ingress.listener.connections):
         connection.commands_read = 0
-        connection.enforce_timeouts(clock.now() + client_connection.FIRST_COMMAND_TIMEOUT_MS + 1)
+        connection.enforce_timeouts(clock.now() + client_timeouts.FIRST_COMMAND_TIMEOUT_MS + 1)
 
 
 @pytest.mark.parametrize(
