Go on accepting behind a client that has left the accept queue

Cause: accept fails with ECONNABORTED if the first client of the queue has left. It was taken for an empty queue before a drain, so that those behind it were reset with the listener, and for a lack of resources while serving, which holds up all others for 50 ms. On the same path: a connection within a command counted as idle, so one that wrote slowly was closed after 2 s where half of the budget was in use, and was the first to be evicted.

Change: accept goes on at once. An incomplete command has its own timeout alone, and a request that is being read into blocks is evicted last.

Result: the new test fails on the old code.

--- a/dockthread/net/listener.py
+++ b/dockthread/net/listener.py
@@ -82,6 +82,8 @@
                 self._open(sock)
                 self.accept_queued(ACCEPTS_PER_TURN)
                 await asyncio.sleep(0)
+            except ConnectionAbortedError:
+                continue
             except OSError as error:
                 # Without a free descriptor, clients wait in the accept queue.
                 if self._free_descriptor(error):
@@ -116,7 +118,9 @@
                 break
             try:
                 sock, _ = self.socket.accept()
-            except (BlockingIOError, ConnectionAbortedError):
+            except ConnectionAbortedError:  # this client has left; others may wait behind it
+                continue
+            except BlockingIOError:
                 self._backlog.mark_empty()
                 return
             self._open(sock)
@@ -143,7 +147,8 @@
         """Close the idle connection that is needed least; return False if there is none.
 
         Connections that are ending come first, then those that have sent at most one command, then
-        all others; within each group the longest idle comes first. Connections that were just
+        others, and last those whose request is being read into blocks; within each group the
+        longest idle comes first. Connections that were just
         accepted or read from are kept, and so are connections with unread input that are not
         ending, because a request may be on its way or already waiting.
         """
@@ -158,6 +163,7 @@
         candidates.sort(
             key=lambda connection: (
                 not connection.is_ending,
+                connection.is_reading_body,
                 connection.commands_read > 1,
                 connection.last_read_ms,
             )
@@ -183,7 +189,9 @@
         if len(self.connections) <= self.budget.client // 2:
             return
         for connection in list(self.connections):
-            is_expired = connection.is_idle and now - connection.last_read_ms > IDLE_TIMEOUT_MS
+            if not connection.is_idle or connection.is_mid_command:
+                continue  # an incomplete command has a timeout of its own
+            is_expired = now - connection.last_read_ms > IDLE_TIMEOUT_MS
             if is_expired and not connection.has_input():
                 connection.end_gracefully()
 
--- a/tests/net/test_descriptor_budget.py
+++ b/tests/net/test_descriptor_budget.py
@@ -5,6 +5,8 @@
 import socket
 from typing import Any
 
+import pytest
+
 from dockthread.clock import ManualClock
 from dockthread.policy import Outcome
 from tests.loopback import PROCESS_LIMITS, Backend, Client, run, running_ingress, until
@@ -164,3 +166,31 @@
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
+
+
+def test_a_client_that_left_the_accept_queue_does_not_hold_up_those_behind_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with running_ingress(Backend()) as (ingress, _, _):
+            listening, outcomes = ingress.listener.socket, [ConnectionAbortedError(103, "aborted")]
+
+            class AbortingSocket:
+                def accept(self) -> tuple[socket.socket, object]:
+                    if outcomes:
+                        raise outcomes.pop()
+                    return listening.accept()
+
+                def close(self) -> None:
+                    listening.close()
+
+            monkeypatch.setattr(ingress.listener, "socket", AbortingSocket())
+            with socket.create_connection(("127.0.0.1", ingress.address.port)) as waiting:
+                ingress.listener.accept_remaining()
+                waiting.setblocking(False)
+                assert any(
+                    connection.sock.getpeername() == waiting.getsockname()
+                    for connection in ingress.listener.connections
+                )
+
+    run(scenario())
