Count the wait for memory against the time that a large request tells its backend

Cause: the bound on the arrival of input took a reader to be waiting for it all the time.

Change: the reader of bodies tells the clock of its input before each read that it waits only now.

--- a/dockthread/net/body_reader.py
+++ b/dockthread/net/body_reader.py
@@ -37,19 +37,20 @@
     Attributes:
         content: The body; None before `read`, and after it was handed over.
         is_rejected: Whether the request was answered and its body is only skipped.
+        last_progress_ms: When its last bytes were read.
     """
 
     __slots__ = (
         "_host",
         "_input",
         "_is_cancelled",
-        "_last_progress_ms",
         "_loop",
         "_overdue_ms",
         "_reader",
         "_sock",
         "content",
         "is_rejected",
+        "last_progress_ms",
     )
 
     def __init__(
@@ -63,13 +64,13 @@
         self.content: BlockBuffer | None = None
         self.is_rejected = False
         self._is_cancelled = False
-        self._last_progress_ms = host.clock.now()
-        self._overdue_ms = self._last_progress_ms
+        self.last_progress_ms = host.clock.now()
+        self._overdue_ms = self.last_progress_ms
 
     @property
     def waiting_since_ms(self) -> float:
         """When the last byte arrived; earlier if the body has taken longer than the slowest pace."""
-        return min(self._last_progress_ms, self._overdue_ms)
+        return min(self.last_progress_ms, self._overdue_ms)
 
     async def read(self, size: int, time_left_ms: float) -> bool:
         """Read a body of `size` bytes; return False if there is no memory for it.
@@ -115,8 +116,8 @@
             content.release()
 
     def _start(self, size: int) -> None:
-        self._last_progress_ms = self._host.clock.now()
-        self._overdue_ms = self._last_progress_ms + size / MIN_BYTES_PER_MS
+        self.last_progress_ms = self._host.clock.now()
+        self._overdue_ms = self.last_progress_ms + size / MIN_BYTES_PER_MS
 
     async def _read_line_end(self) -> None:
         line_end = self._reader.take(len(LINE_END))
@@ -134,6 +135,8 @@
             ConnectionError: The client closed the connection.
             BodyCancelledError: `cancel` was called meanwhile.
         """
+        # Until now the socket was not read, so what it has may have arrived long ago.
+        self._input.on_wait()
         size = await self._loop.sock_recv_into(self._sock, space)
         if not size:
             raise ConnectionResetError("the client closed the connection within a request")
@@ -142,5 +145,5 @@
         now = self._host.clock.now()
         self._host.traffic.client_bytes_in += size
         self._input.on_read(now, is_drained=size < len(space))
-        self._last_progress_ms = now
+        self.last_progress_ms = now
         return size
--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -63,6 +63,7 @@
         "_discarder",
         "_host",
         "_input",
+        "_last_read_ms",
         "_loop",
         "_on_closed",
         "_pacer",
@@ -73,7 +74,6 @@
         "command_started_ms",
         "commands_read",
         "is_surplus",
-        "last_read_ms",
         "sock",
     )
 
@@ -101,7 +101,7 @@
         self._body: BodyReader | None = None  # set while the body of a request is being read
         self.commands_read = 0
         self._discarder = InputDiscarder(sock, host.event_loop_lag)
-        self.last_read_ms = now
+        self._last_read_ms = now
         # Start of the current or latest command, or of the connection before the first command.
         self.command_started_ms = now
         self._responses = ResponseQueue(self, sock, host.clock, host.traffic)
@@ -130,6 +130,11 @@
         """Since when the client owes the rest of a command, or its first one."""
         return self.command_started_ms if self._body is None else self._body.waiting_since_ms
 
+    @property
+    def last_read_ms(self) -> float:
+        """When its last input was read."""
+        return self._last_read_ms if self._body is None else self._body.last_progress_ms
+
     @property
     def is_reading_body(self) -> bool:
         """Whether the body of a request is being read."""
@@ -202,10 +207,7 @@
             self.close()
 
     def abort_response(self) -> None:
-        """End the connection within a response, so that the client can tell it is not whole.
-
-        Responses to later commands cannot be sent, because nothing marks where they would begin.
-        """
+        """End the connection within a response, so that the client can tell it is not whole."""
         if self._state is ClientConnectionState.CLOSED or self.is_ending:
             return
         self._stop_reading_body()
@@ -231,11 +233,7 @@
         self._on_closed(self)
 
     def close_soon(self) -> None:
-        """Close the connection in a later iteration of the event loop.
-
-        Closing ends requests, which actions of a policy decision that are still to be executed may
-        refer to.
-        """
+        """Close in a later iteration: the actions of a policy decision may refer to its requests."""
         self._loop.call_soon(self.close)
 
     def _abandon(self, unanswered: list[ResponseSlot]) -> None:
@@ -312,10 +310,10 @@
                 is_drained = len(more) < LONG_READ_BYTES
                 data += more
         self._host.traffic.client_bytes_in += len(data)
-        self.last_read_ms = self._host.clock.now()
-        self._input.on_read(self.last_read_ms, is_drained=is_drained)
+        self._last_read_ms = self._host.clock.now()
+        self._input.on_read(self._last_read_ms, is_drained=is_drained)
         if self._reader.is_between_commands:
-            self.command_started_ms = self.last_read_ms
+            self.command_started_ms = self._last_read_ms
         self._reader.feed(data)
 
     async def _serve_commands(self) -> None:
@@ -352,7 +350,7 @@
 
     def _count_command(self) -> None:
         self.commands_read += 1
-        self.command_started_ms = self.last_read_ms
+        self.command_started_ms = self._last_read_ms
         self._pacer.record_command()
 
     def _finish_if_excessive(self) -> None:
@@ -387,7 +385,7 @@
         self._end_of_body(body)
 
     def _end_of_body(self, body: BodyReader) -> None:
-        self.last_read_ms = self._host.clock.now()
+        self._last_read_ms = self._host.clock.now()
         if self._body is body:
             self._body = None
 
--- a/tests/net/test_long_values.py
+++ b/tests/net/test_long_values.py
@@ -190,6 +190,23 @@
     run(scenario())
 
 
+def test_the_time_for_which_a_body_waited_for_memory_is_not_passed_on_to_the_backend() -> None:
+    async def scenario() -> None:
+        backend = Backend()
+        async with running_ingress(backend) as (ingress, client, _):
+            blocks = ingress.body_blocks
+            assert blocks.try_reserve(blocks.max_blocks)
+            client.send_request("checkout", d=2_000, body=VALUE[:100_000])
+            await until(lambda: blocks.waiting)
+            await asyncio.sleep(0.3)
+            blocks.unreserve(blocks.max_blocks)
+            assert await client.answer() == b"value"
+            terms = backend.received_commands[0][3]
+            assert int(terms.partition(b"d=")[2].partition(b",")[0]) <= 2_000 - 300 + 150
+
+    run(scenario())
+
+
 def test_reservations_are_granted_in_order_and_never_beyond_the_pool() -> None:
     async def scenario() -> None:
         pool = BlockPool(4)
