Bound the responses that clients have not read, on all connections together

Responses that wait for an earlier one on their connection were counted nowhere: 128 commands of 2 KiB behind a request that hangs held 250 KiB, on every connection, and their requests had left the bound on requests. The pace of a connection and the wait for its client applied only between commands that one read had brought.

Change: HeldResponses counts what is known and not sent on all connections. Above 16 KiB on its own, or above 3% of the memory left on all together, a connection that holds some is not read. Pace and wait apply before each read as well.

--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -39,8 +39,6 @@
 COMMANDS_PER_TURN = 8  # Commands served on one connection before other tasks run.
 MAX_PENDING_COMMANDS = 128  # Maximum number of commands without a response on one connection.
 MAX_INVALID_COMMANDS = 16  # Maximum number of invalid commands on one connection.
-# With more unsent bytes, no further command is served until the client has read them.
-MAX_UNSENT_BYTES = 16 * 1024
 # Time between two checks for a close while the connection is not read.
 CLOSE_CHECK_S = 0.05
 
@@ -50,9 +48,8 @@
 class ClientConnection:
     """One client connection, and the task that reads from it while it is open.
 
-    `on_closed` is called when the socket has been closed. Times are in milliseconds on the
-    ingress's clock. `is_surplus` marks a connection beyond the descriptor budget, which is closed
-    after one rejection.
+    `on_closed` is called when the socket has been closed. Times are in ms on the ingress's clock.
+    `is_surplus` marks one beyond the descriptor budget, which is closed after one rejection.
     """
 
     __slots__ = (
@@ -104,7 +101,7 @@
         self._last_read_ms = now
         # Start of the current or latest command, or of the connection before the first command.
         self.command_started_ms = now
-        self._responses = ResponseQueue(self, sock, host.clock, host.traffic)
+        self._responses = ResponseQueue(self, sock, host.clock, host.traffic, host.held_responses)
 
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._reading: asyncio.Task[None] | None = self._loop.create_task(self._run())
@@ -325,6 +322,7 @@
                 self.close()
                 return
         self.flush()
+        await self._wait_for_client()
         self._input.on_wait()
 
     async def _serve_turn(self) -> bool:
@@ -390,9 +388,14 @@
             self._body = None
 
     async def _pause(self) -> None:
-        """Let other tasks run; wait while the client reads too little or sends too fast."""
-        await asyncio.sleep(self._pacer.pause_s(self._loop.time()))
-        while self._responses.unsent_bytes > MAX_UNSENT_BYTES:
-            if self._state is ClientConnectionState.CLOSED or self.has_disconnected():
-                return
+        """Let other tasks run before further commands are served."""
+        await asyncio.sleep(0)
+        await self._wait_for_client()
+
+    async def _wait_for_client(self) -> None:
+        """Wait while the client reads too little or sends too fast."""
+        pause_s = self._pacer.pause_s(self._loop.time())
+        if pause_s:
+            await asyncio.sleep(pause_s)
+        while self._responses.must_be_read and not self.has_disconnected():  # noqa: ASYNC110
             await asyncio.sleep(CLOSE_CHECK_S)
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -30,6 +30,7 @@
 from dockthread.net.request import RouteLookup
 from dockthread.net.request_ids import RequestIds
 from dockthread.net.requests_in_flight import RequestLimits, RequestTable
+from dockthread.net.response_queue import HeldResponses
 from dockthread.net.timers import Timers
 from dockthread.observer import IsolatedObserver, Observer, Traffic
 from dockthread.policy import PolicyEngine, PolicySettings
@@ -129,6 +130,7 @@
         """Create the components between a client's command and a backend's reply."""
         config = self.config
         self.body_blocks = BlockPool(self.memory.blocks)
+        self.held_responses = HeldResponses(self.memory.held_response_bytes)
         exchange = BackendExchange(
             self.clock,
             self.traffic,
--- a/dockthread/net/memory.py
+++ b/dockthread/net/memory.py
@@ -32,6 +32,7 @@
 BACKEND_SHARE = 0.1
 REQUEST_SHARE = 0.25
 CUSTOMER_SHARE = 0.15
+HELD_RESPONSES_SHARE = 0.03
 # A smaller bound would let an ingress serve nothing; below it the configured memory is too small.
 MIN_CLIENT_CONNECTIONS = 32
 MIN_BACKEND_CONNECTIONS = 16
@@ -51,6 +52,8 @@
         customers: Maximum number of customers whose state is kept.
         blocks: Maximum number of blocks for bodies and values.
         relay_bytes: Size of the buffer that each request may use to pass on its response.
+        held_response_bytes: Size of the responses that clients have not read, above which those
+            that hold some are served no further commands.
     """
 
     client_connections: int
@@ -59,6 +62,7 @@
     customers: int
     blocks: int
     relay_bytes: int
+    held_response_bytes: int
 
     @property
     def body_bytes(self) -> int:
@@ -92,9 +96,12 @@
         customers = count(CUSTOMER_SHARE, CUSTOMER_BYTES, MIN_CUSTOMERS)
         # What descriptors keep the connections from using goes to the blocks.
         connections_bytes = clients * CLIENT_CONNECTION_BYTES + backends * BACKEND_CONNECTION_BYTES
-        others = (REQUEST_SHARE + CUSTOMER_SHARE) * available
+        others = (REQUEST_SHARE + CUSTOMER_SHARE + HELD_RESPONSES_SHARE) * available
         blocks = max(MIN_BLOCKS, int((available - connections_bytes - others) / BLOCK_BYTES))
-        return MemoryBudget(clients, backends, requests, customers, blocks, relay_bytes)
+        held_response_bytes = int(available * HELD_RESPONSES_SHARE)
+        return MemoryBudget(
+            clients, backends, requests, customers, blocks, relay_bytes, held_response_bytes
+        )
 
     def limited(self, descriptors: DescriptorBudget) -> DescriptorBudget:
         """Return the budget of descriptors, reduced to the connections that memory allows."""
--- a/dockthread/net/response_queue.py
+++ b/dockthread/net/response_queue.py
@@ -16,6 +16,8 @@
 from dockthread.errors import DockthreadError
 from dockthread.observer import Traffic
 
+# With more held bytes, a connection serves no further command until its client has read some.
+MAX_HELD_BYTES = 16 * 1024
 WRITE_TIMEOUT_MS = 5_000.0  # Time for a client to read a part of a response.
 # Time for a client to read a part of a long response. The system opens a full receive window again
 # only after the client has read much of it.
@@ -40,6 +42,26 @@
         self.stream: ResponseStream | None = None
 
 
+class HeldResponses:
+    """The size of all responses that clients have not read, or that wait for earlier ones.
+
+    Attributes:
+        total_bytes: Their size on all connections.
+        max_bytes: The size above which no connection that holds some serves further commands.
+    """
+
+    __slots__ = ("max_bytes", "total_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether clients must read before they are served again."""
+        return self.total_bytes > self.max_bytes
+
+
 class QueueOwner(Protocol):
     """The connection that owns a queue."""
 
@@ -70,6 +92,7 @@
 
     __slots__ = (
         "_clock",
+        "_held",
         "_loop",
         "_owner",
         "_pending",
@@ -77,13 +100,18 @@
         "_traffic",
         "_unsent",
         "_writer",
+        "held_bytes",
         "is_closed",
-        "unsent_bytes",
         "write_started_ms",
     )
 
     def __init__(
-        self, owner: QueueOwner, sock: socket.socket, clock: Clock, traffic: Traffic
+        self,
+        owner: QueueOwner,
+        sock: socket.socket,
+        clock: Clock,
+        traffic: Traffic,
+        held: HeldResponses,
     ) -> None:
         self._owner: QueueOwner = owner
         self._sock = sock
@@ -92,7 +120,8 @@
         self._loop = asyncio.get_running_loop()
         self._pending: list[ResponseSlot] = []
         self._unsent: list[bytes] = []
-        self.unsent_bytes = 0
+        self._held = held
+        self.held_bytes = 0  # of the responses that are known and not sent
         self._writer: asyncio.Task[None] | None = None
         # When the client's socket last accepted something, or None while nothing waits for it.
         self.write_started_ms: float | None = None
@@ -127,6 +156,7 @@
         if self.is_closed:
             return
         self._collect_due()
+        self._count_held()
         if self._writer is not None:
             return
         if self._unsent and not self._send_unsent():
@@ -143,7 +173,17 @@
             pending.pop(0)
             if response:
                 self._unsent.append(response)
-                self.unsent_bytes += len(response)
+
+    def _count_held(self) -> None:
+        held_bytes = sum(map(len, self._unsent))
+        held_bytes += sum(len(slot.response) for slot in self._pending if slot.response)
+        self._held.total_bytes += held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
+
+    @property
+    def must_be_read(self) -> bool:
+        """Whether the client has to read before further commands are served."""
+        return self.held_bytes > MAX_HELD_BYTES or bool(self.held_bytes and self._held.is_full)
 
     def _send_unsent(self) -> bool:
         """Send what the socket accepts; return whether that was everything."""
@@ -156,9 +196,9 @@
             self._owner.on_send_failed()
             return False
         self._traffic.client_bytes_out += sent
-        self.unsent_bytes -= sent
         self._unsent.clear()
         if sent == len(data):
+            self._count_held()
             return True
         self._unsent.append(data[sent:])
         self.write_started_ms = self._clock.now()
@@ -173,7 +213,7 @@
                 self._unsent.clear()
                 self._traffic.client_bytes_out += len(data)
                 await self._loop.sock_sendall(self._sock, data)
-                self.unsent_bytes -= len(data)
+                self._count_held()
                 self.write_started_ms = self._clock.now()
         except OSError:
             self._writer = None
@@ -183,11 +223,6 @@
         self._writer = None
         self.flush()
 
-    async def wait_until_sent(self) -> None:
-        """Wait until the client's socket has accepted all responses that are due."""
-        if self._writer is not None:
-            await asyncio.wait((self._writer,))
-
     async def write_part(self, data: memoryview | bytes) -> None:
         """Send a part of the response that is being passed on.
 
@@ -216,6 +251,8 @@
             self._writer.cancel()
             self._writer = None
         self._unsent.clear()
+        self._held.total_bytes -= self.held_bytes
+        self.held_bytes = 0
         unanswered = [slot for slot in self._pending if slot.response is None]
         self._pending = []
         for slot in unanswered:
--- a/tests/net/test_closing_client_connections.py
+++ b/tests/net/test_closing_client_connections.py
@@ -12,8 +12,8 @@
 from dockthread.net import client_connection, client_timeouts
 from dockthread.net.ingress import Ingress
 from dockthread.net.lifecycle import Phase
-from tests.loopback import Backend, command, request, run, running_ingress, until
-from tests.net.support import VALUE_REPLY, never_replies, pinged_socket
+from tests.loopback import Backend, Client, command, request, run, running_ingress, until
+from tests.net.support import VALUE_REPLY, GatedBackend, never_replies, pinged_socket
 
 
 def begin_draining(ingress: Ingress, clock: ManualClock) -> None:
@@ -154,3 +154,29 @@
             await asyncio.wait_for(until(lambda: not ingress.requests), 3)
 
     run(scenario())
+
+
+def test_responses_that_wait_for_an_earlier_one_are_bounded_on_all_connections_together() -> None:
+    async def scenario() -> None:
+        backend = GatedBackend()
+        async with running_ingress(backend) as (ingress, client, _):
+            pings = command(b"PING", b"x" * 1_900) * 100
+            client.writer.write(request(1) + pings)
+            held = ingress.held_responses
+            await until(lambda: held.total_bytes > 16 * 1024)
+            await asyncio.sleep(0.2)
+            assert held.total_bytes <= (16 * 1024) + 8 * 2_000
+            held.max_bytes = held.total_bytes - 1
+            other = await Client.open(ingress.address.port)
+            other.writer.write(request(2) + pings)
+            await asyncio.sleep(0.2)
+            assert held.total_bytes <= held.max_bytes + 9 * 2_000
+            sound = await Client.open(ingress.address.port)
+            sound.send(b"PING")
+            assert await sound.answer() == b"PONG"
+            backend.may_reply.set()
+            assert [await client.answer() for _ in range(101)][100] == b"x" * 1_900
+            assert [await other.answer() for _ in range(101)][0] == b"value"
+            assert held.total_bytes == 0
+
+    run(scenario())
