--- a/dockthread/net/backend_exchange.py
+++ b/dockthread/net/backend_exchange.py
@@ -85,11 +85,13 @@
             OSError: The connection broke before the last byte was sent.
         """
         attempt.has_started = True
-        parts = list(attempt.command.parts_for_backend(time_left_ms))
-        for number, part in enumerate(parts, 1):
-            attempt.may_have_run = number == len(parts)
+        *parts, last_part = attempt.command.parts_for_backend(time_left_ms)
+        for part in parts:
             await self._loop.sock_sendall(connection.sock, part)
             self._traffic.backend_bytes_out += len(part)
+        attempt.may_have_run = True
+        await self._loop.sock_sendall(connection.sock, last_part)
+        self._traffic.backend_bytes_out += len(last_part)
         attempt.is_written = True
         self._traffic.attempts_sent += 1
 
--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -39,8 +39,7 @@
 COMMANDS_PER_TURN = 8  # Commands served on one connection before other tasks run.
 MAX_PENDING_COMMANDS = 128  # Maximum number of commands without a response on one connection.
 MAX_INVALID_COMMANDS = 16  # Maximum number of invalid commands on one connection.
-# Time between two checks for a close while the connection is not read.
-CLOSE_CHECK_S = 0.05
+CLOSE_CHECK_S = 0.05  # Time between two checks for a close while the connection is not read.
 
 CLOSE_TIMEOUT_MS = 1_000.0  # Time for a client to close after the sending side was shut down.
 
--- a/dockthread/net/connection_pool.py
+++ b/dockthread/net/connection_pool.py
@@ -23,6 +23,8 @@
 STREAM_STALL_TIMEOUT_MS = 10_000.0
 # Time without a byte after the value of a long reply.
 TAIL_TIMEOUT_MS = 500.0
+# Age from which it is checked again before an attempt is sent whether its client has left.
+MIN_CLOSE_CHECK_AGE_MS = 5.0
 # Minimum idle time before a connection is reused. A faulty backend may send a second reply some
 # milliseconds after the first, which would be mistaken for the reply to the next request.
 REUSE_DELAY_MS = 20.0
@@ -207,6 +209,16 @@
             attempt.connection = None
             self.on_ended(attempt, reply)
 
+    def _has_client_left(self, attempt: Attempt, now: float) -> bool:
+        """Return whether the client closed its connection while the attempt waited for its own."""
+        source = attempt.source
+        if source is None or now - attempt.started_ms < MIN_CLOSE_CHECK_AGE_MS:
+            return False  # it was checked when the attempt was started
+        if not source.has_disconnected():
+            return False
+        source.close_soon()
+        return True
+
     def _on_connect_timeout(self, connection: BackendConnection, attempt: Attempt) -> None:
         is_connecting = connection.state is BackendConnectionState.CONNECTING
         if is_connecting and attempt.outcome is None:
@@ -258,8 +270,7 @@
         if time_left_ms <= 0 or now > attempt.start_deadline_ms or not connection.is_current:
             self._finish(attempt, resp.BackendReply(Outcome.NOT_SENT))
             return False
-        if attempt.source is not None and attempt.source.has_disconnected():
-            attempt.source.close_soon()
+        if self._has_client_left(attempt, now):
             self._traffic.drops[DropReason.CLIENT_LEFT] += 1
             self._finish(attempt, resp.BackendReply(Outcome.NOT_SENT))
             return False
--- a/dockthread/net/response_queue.py
+++ b/dockthread/net/response_queue.py
@@ -156,11 +156,12 @@
         if self.is_closed:
             return
         self._collect_due()
-        self._count_held()
         if self._writer is not None:
+            self._count_held()
             return
         if self._unsent and not self._send_unsent():
             return
+        self._count_held()
         if self._pending and (stream := self._pending[0].stream) is not None:
             stream.on_turn()
         elif not self._pending:
@@ -175,6 +176,8 @@
                 self._unsent.append(response)
 
     def _count_held(self) -> None:
+        if not (self.held_bytes or self._unsent or self._pending):
+            return
         held_bytes = sum(map(len, self._unsent))
         held_bytes += sum(len(slot.response) for slot in self._pending if slot.response)
         self._held.total_bytes += held_bytes - self.held_bytes
@@ -198,9 +201,9 @@
         self._traffic.client_bytes_out += sent
         self._unsent.clear()
         if sent == len(data):
-            self._count_held()
             return True
         self._unsent.append(data[sent:])
+        self._count_held()
         self.write_started_ms = self._clock.now()
         self._writer = self._loop.create_task(self._write())
         return False
