Compare the address of a connection as text, and share code of replies and soak settings

Cause of the time: not one part; the profile's cheapest saving was parsing each backend's address anew for every look at a connection.

Change: the text of the address is compared.

--- a/dockthread/lab/soak/run.py
+++ b/dockthread/lab/soak/run.py
@@ -23,11 +23,11 @@
 )
 from dockthread.lab.soak.journal import AnswerPace, Ending, Journal, RequestRecord
 from dockthread.lab.soak.process import IngressProcess
+from dockthread.lab.soak.settings import LONGEST_DEADLINE_S
 from dockthread.lab.soak.stand_ins import SoakBackend, SoakDiscovery
 
 BACKENDS = 4
 CUSTOMERS = 40
-LONGEST_DEADLINE_S = 3.0
 KILL_GRACE_S = 0.7
 MAX_VALUE_BYTES = 4 * 1024 * 1024
 MIN_LARGE_BYTES = 100 * 1024
--- a/dockthread/net/backend_connection.py
+++ b/dockthread/net/backend_connection.py
@@ -60,6 +60,7 @@
     """
 
     __slots__ = (
+        "_address_text",
         "attempt",
         "backend",
         "backend_started_ms",
@@ -75,6 +76,7 @@
     def __init__(self, backend: BackendRecord, attempt: Attempt) -> None:
         self.backend = backend
         self.endpoint = backend.address
+        self._address_text = backend.address_text
         self.backend_started_ms = backend.started_ms
         self.sock = self.endpoint.new_socket()
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -92,7 +94,7 @@
         backend = self.backend
         return (
             backend.is_ready
-            and backend.address == self.endpoint
+            and backend.address_text == self._address_text
             and backend.started_ms == self.backend_started_ms
         )
 
--- a/dockthread/net/resp/reply_reader.py
+++ b/dockthread/net/resp/reply_reader.py
@@ -31,14 +31,21 @@
     return BackendReply(Outcome.ERROR, is_well_formed=False)
 
 
-class _MessageReader:
-    """Reads one message within a guard."""
+class _ReplyMessage:
+    """Reads one message of a reply within a guard.
 
-    __slots__ = ("_guard", "_parser")
+    Attributes:
+        message: The message once it is complete, else `INCOMPLETE`.
+        is_malformed: Whether the input is not such a message.
+    """
+
+    __slots__ = ("_guard", "_parser", "is_malformed", "message")
 
     def __init__(self, guard: FramingGuard) -> None:
         self._guard = guard
         self._parser = new_parser()
+        self.message: object = INCOMPLETE
+        self.is_malformed = False
 
     @property
     def has_extra_bytes(self) -> bool:
@@ -46,20 +53,15 @@
         guard = self._guard
         return guard.is_broken or not guard.is_between_messages or bool(self._parser.has_data())
 
-    def feed(self, data: bytes) -> object:
-        """Read a part of the message; return it once it is complete, else `INCOMPLETE`.
-
-        Raises:
-            ProtocolError: The message is malformed.
-        """
+    def feed(self, data: bytes) -> None:
+        """Read a part of the message."""
         self._parser.feed(data[: self._guard.count_safe_bytes(data)])
         try:
-            message = self._parser.gets()
-        except UnicodeDecodeError as error:
-            raise ProtocolError(str(error)) from error
-        if message is INCOMPLETE and self._guard.is_broken:
-            raise ProtocolError("malformed reply")
-        return message
+            self.message = self._parser.gets()
+        except (ProtocolError, UnicodeDecodeError):
+            self.is_malformed = True
+        else:
+            self.is_malformed = self.message is INCOMPLETE and self._guard.is_broken
 
 
 class ReplyReader:
@@ -86,7 +88,7 @@
     def __init__(self, parser: ReplyParser) -> None:
         self._parser = parser
         self._head: bytes | None = b""  # input that may be the head of a long reply
-        self._message = _MessageReader(reply_guard())
+        self._message = _ReplyMessage(reply_guard())
         self.reply: BackendReply | None = None
         self.is_reusable = False
         self.long_value_bytes: int | None = None
@@ -105,13 +107,11 @@
             self._head = data if is_partial else None
             if is_partial:
                 return
-        try:
-            message = self._message.feed(data)
-        except ProtocolError:
+        self._message.feed(data)
+        if self._message.is_malformed:
             self.reply = _malformed()
-            return
-        if message is not INCOMPLETE:
-            self.reply = self._parser.parse(message)
+        elif self._message.message is not INCOMPLETE:
+            self.reply = self._parser.parse(self._message.message)
             self.is_reusable = self.reply.is_well_formed and not self._message.has_extra_bytes
 
 
@@ -137,7 +137,7 @@
     def __init__(self, parser: ReplyParser) -> None:
         self._parser = parser
         self._line_end = b""
-        self._message = _MessageReader(reply_guard(REPORTS))
+        self._message = _ReplyMessage(reply_guard(REPORTS))
         self._message.feed(b"*%d\r\n" % REPORTS)
         self.is_value_confirmed = False
         self.reply: BackendReply | None = None
@@ -155,11 +155,10 @@
             self.is_value_confirmed = self._line_end == LINE_END
         if not data:
             return
-        try:
-            message = self._message.feed(data)
-        except ProtocolError:
+        self._message.feed(data)
+        reports = self._message.message
+        if self._message.is_malformed:
             self.reply = _malformed()
-            return
-        if isinstance(message, list):
-            self.reply = self._parser.parse([b"", *message])
+        elif isinstance(reports, list):
+            self.reply = self._parser.parse([b"", *reports])
             self.is_reusable = self.reply.is_well_formed and not self._message.has_extra_bytes
