Reject large requests while the process is near its limit all the same

Need: the bounds of MemoryBudget rest on estimates; the endpoint list and what operators configure have no bound of their own.

Change: maintenance looks at the resident size. Above 97% of the limit, until it is under 95%, no blocks are reserved, so that large requests are rejected, idle client connections are closed one by one, and garbage is collected once; small requests are served. A process without any folder for temporary files keeps the ids of requests for itself instead of failing to start.

--- a/dockthread/net/block_pool.py
+++ b/dockthread/net/block_pool.py
@@ -37,6 +37,7 @@
 
     def __init__(self, max_blocks: int) -> None:
         self.max_blocks = max_blocks
+        self._is_paused = False
         self.reserved = 0
         self._waiters: deque[_Waiter] = deque()
 
@@ -45,9 +46,14 @@
         """The number of reservations that wait."""
         return len(self._waiters)
 
+    def pause(self, is_paused: bool) -> None:
+        """Reserve no further blocks, or reserve them again."""
+        self._is_paused = is_paused
+        self._grant()
+
     def try_reserve(self, blocks: int) -> bool:
         """Reserve blocks if they are free and no earlier reservation waits."""
-        if self._waiters or self.reserved + blocks > self.max_blocks:
+        if self._is_paused or self._waiters or self.reserved + blocks > self.max_blocks:
             return False
         self.reserved += blocks
         return True
@@ -82,7 +88,7 @@
         while self._waiters:
             waiter = self._waiters[0]
             if not waiter.granted.done():
-                if self.reserved + waiter.blocks > self.max_blocks:
+                if self._is_paused or self.reserved + waiter.blocks > self.max_blocks:
                     return
                 self.reserved += waiter.blocks
                 waiter.granted.set_result(True)
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -25,6 +25,7 @@
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.listener import Listener
 from dockthread.net.memory import BACKEND_BYTES, MemoryBudget
+from dockthread.net.memory_guard import MemoryGuard
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
 from dockthread.net.request import RouteLookup
@@ -130,6 +131,7 @@
         """Create the components between a client's command and a backend's reply."""
         config = self.config
         self.body_blocks = BlockPool(self.memory.blocks)
+        self.memory_guard = MemoryGuard(config.memory_mb * BYTES_PER_MB)
         self.held_responses = HeldResponses(self.memory.held_response_bytes)
         exchange = BackendExchange(
             self.clock,
@@ -379,6 +381,10 @@
         pending_timers = self.engine.timers.pending
         if len(self.timers) > 2 * len(pending_timers) + MAX_CANCELLED_TIMERS:
             self._executor.discard_cancelled_timers(pending_timers)
+        self.memory_guard.check()
+        self.body_blocks.pause(self.memory_guard.is_short)
+        if self.memory_guard.is_short:
+            self.listener.evict_idle()
         self.connection_pool.close_expired()
         self.connection_pool.end_stalled()
         self.endpoints.forget_expired()
--- a/dockthread/net/request_ids.py
+++ b/dockthread/net/request_ids.py
@@ -111,8 +111,8 @@
     @classmethod
     def shared(cls, clock: Clock, name: str) -> RequestIds:
         """Return the ids that all processes of the ingress `name` remember."""
-        path = Path(tempfile.gettempdir()) / FILE_NAME.format(name.replace("/", "-"))
-        try:
+        try:  # also if there is no folder for temporary files
+            path = Path(tempfile.gettempdir()) / FILE_NAME.format(name.replace("/", "-"))
             return cls(clock, FileStorage(path))
         except OSError as error:
             logger.warning("request ids are not shared with another process: {}", error)
--- a/tests/net/test_long_values.py
+++ b/tests/net/test_long_values.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Any
 
 import pytest
@@ -155,6 +156,23 @@
     run(scenario())
 
 
+def test_large_requests_are_rejected_while_the_process_is_near_its_limit() -> None:
+    async def scenario() -> None:
+        async with running_ingress(Backend()) as (ingress, client, _):
+            guard = ingress.memory_guard
+            for resident_share, expected in (
+                (0.98, "BUSY 500"),
+                (0.96, "BUSY 500"),
+                (0.9, b"value"),
+            ):
+                guard.measure = partial(int, resident_share * guard.limit_bytes)
+                ingress._run_periodic_maintenance()
+                assert await client.call("checkout", d=400, body=VALUE) == expected
+                assert await client.call() == b"value"
+
+    run(scenario())
+
+
 def test_half_requests_hold_no_more_than_the_blocks_and_others_are_served() -> None:
     async def scenario() -> None:
         async with running_ingress(Backend(), limits=SMALL) as (ingress, client, _):
