--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -100,7 +100,9 @@
         self._last_read_ms = now
         # Start of the current or latest command, or of the connection before the first command.
         self.command_started_ms = now
-        self._responses = ResponseQueue(self, sock, host.clock, host.traffic, host.held_responses)
+        self._responses = ResponseQueue(
+            self, sock, host.clock, host.traffic, host.buffered_responses
+        )
 
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._reading: asyncio.Task[None] | None = self._loop.create_task(self._run())
--- a/dockthread/net/connection_host.py
+++ b/dockthread/net/connection_host.py
@@ -8,7 +8,7 @@
 from dockthread.net import resp
 from dockthread.net.block_pool import BlockPool
 from dockthread.net.event_loop_lag import EventLoopLagMonitor
-from dockthread.net.response_queue import HeldResponses, ResponseSlot, ResponseStream
+from dockthread.net.response_queue import BufferedResponses, ResponseSlot, ResponseStream
 from dockthread.observer import Traffic
 
 __all__ = ["ConnectionHost", "RequestHandler", "RequestSource", "ResponseSlot"]
@@ -72,7 +72,7 @@
     request_parser: resp.RequestParser
     traffic: Traffic
     body_blocks: BlockPool
-    held_responses: HeldResponses
+    buffered_responses: BufferedResponses
     event_loop_lag: EventLoopLagMonitor
 
     @property
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -31,7 +31,7 @@
 from dockthread.net.request import RouteLookup
 from dockthread.net.request_ids import RequestIds
 from dockthread.net.requests_in_flight import RequestLimits, RequestTable
-from dockthread.net.response_queue import HeldResponses
+from dockthread.net.response_queue import BufferedResponses
 from dockthread.net.timers import Timers
 from dockthread.observer import IsolatedObserver, Observer, Traffic
 from dockthread.policy import PolicyEngine, PolicySettings
@@ -132,7 +132,7 @@
         config = self.config
         self.body_blocks = BlockPool(self.memory.blocks)
         self.memory_guard = MemoryGuard(config.memory_mb * BYTES_PER_MB)
-        self.held_responses = HeldResponses(self.memory.held_response_bytes)
+        self.buffered_responses = BufferedResponses(self.memory.buffered_response_bytes)
         exchange = BackendExchange(
             self.clock,
             self.traffic,
--- a/dockthread/net/memory.py
+++ b/dockthread/net/memory.py
@@ -32,7 +32,7 @@
 BACKEND_SHARE = 0.1
 REQUEST_SHARE = 0.25
 CUSTOMER_SHARE = 0.15
-HELD_RESPONSES_SHARE = 0.03
+BUFFERED_RESPONSES_SHARE = 0.03
 # A smaller bound would let an ingress serve nothing; below it the configured memory is too small.
 MIN_CLIENT_CONNECTIONS = 32
 MIN_BACKEND_CONNECTIONS = 16
@@ -52,7 +52,7 @@
         customers: Maximum number of customers whose state is kept.
         blocks: Maximum number of blocks for bodies and values.
         relay_bytes: Size of the buffer that each request may use to pass on its response.
-        held_response_bytes: Size of the responses that clients have not read, above which those
+        buffered_response_bytes: Size of the responses that clients have not read, above which those
             that hold some are served no further commands.
     """
 
@@ -62,7 +62,7 @@
     customers: int
     blocks: int
     relay_bytes: int
-    held_response_bytes: int
+    buffered_response_bytes: int
 
     @property
     def body_bytes(self) -> int:
@@ -70,9 +70,11 @@
         return self.blocks * BLOCK_BYTES + self.requests * MAX_HEAD_BYTES
 
     @staticmethod
-    def of(limit_bytes: float, held_bytes: int, descriptors: DescriptorBudget) -> MemoryBudget:
-        """Return the budget of a process that holds `held_bytes` of its limit at the start."""
-        available = max(0.0, limit_bytes * (1 - RESERVE_SHARE) - held_bytes)
+    def of(
+        limit_bytes: float, resident_at_start: int, descriptors: DescriptorBudget
+    ) -> MemoryBudget:
+        """Return the budget of a process that holds `resident_at_start` of its limit at the start."""
+        available = max(0.0, limit_bytes * (1 - RESERVE_SHARE) - resident_at_start)
 
         def count(share: float, size: int, minimum: int) -> int:
             return max(minimum, int(available * share / size))
@@ -96,11 +98,11 @@
         customers = count(CUSTOMER_SHARE, CUSTOMER_BYTES, MIN_CUSTOMERS)
         # What descriptors keep the connections from using goes to the blocks.
         connections_bytes = clients * CLIENT_CONNECTION_BYTES + backends * BACKEND_CONNECTION_BYTES
-        others = (REQUEST_SHARE + CUSTOMER_SHARE + HELD_RESPONSES_SHARE) * available
+        others = (REQUEST_SHARE + CUSTOMER_SHARE + BUFFERED_RESPONSES_SHARE) * available
         blocks = max(MIN_BLOCKS, int((available - connections_bytes - others) / BLOCK_BYTES))
-        held_response_bytes = int(available * HELD_RESPONSES_SHARE)
+        buffered_response_bytes = int(available * BUFFERED_RESPONSES_SHARE)
         return MemoryBudget(
-            clients, backends, requests, customers, blocks, relay_bytes, held_response_bytes
+            clients, backends, requests, customers, blocks, relay_bytes, buffered_response_bytes
         )
 
     def limited(self, descriptors: DescriptorBudget) -> DescriptorBudget:
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -114,6 +114,16 @@
             logger.info("request {} was sent before; it is not run again", command.wire_id.decode())
             response = resp.encode_error("this id is open already")
             return self.respond_without_policy(command, "duplicate", response)
+        return self._start(connection, command, now, time_left_ms)
+
+    def _start(
+        self,
+        connection: RequestSource,
+        command: resp.RequestCommand,
+        now: float,
+        time_left_ms: float,
+    ) -> Request:
+        """Enter a request into the table, and pass it to the policy engine."""
         self._last_number += 1
         route = self.routes.bounds(command) if self.routes is not None else None
         if route is not None and route.timeout:
@@ -122,7 +132,7 @@
         self.by_number[request.number] = request
         self.latest_deadline_ms = max(self.latest_deadline_ms, request.deadline_ms)
         self._wire_ids_in_flight.add(command.wire_id)
-        self.body_bytes = body_bytes
+        self.body_bytes += command.body_bytes
         if time_left_ms <= DEADLINE_TIMER_LEAD_MS:
             self._start_deadline_timer(request)
         self._dispatch(
--- a/dockthread/net/response_queue.py
+++ b/dockthread/net/response_queue.py
@@ -16,8 +16,8 @@
 from dockthread.errors import DockthreadError
 from dockthread.observer import Traffic
 
-# With more held bytes, a connection serves no further command until its client has read some.
-MAX_HELD_BYTES = 16 * 1024
+# With more buffered bytes, a connection serves no further command until its client has read some.
+MAX_BUFFERED_BYTES = 16 * 1024
 WRITE_TIMEOUT_MS = 5_000.0  # Time for a client to read a part of a response.
 # Time for a client to read a part of a long response. The system opens a full receive window again
 # only after the client has read much of it.
@@ -42,7 +42,7 @@
         self.stream: ResponseStream | None = None
 
 
-class HeldResponses:
+class BufferedResponses:
     """The size of all responses that clients have not read, or that wait for earlier ones.
 
     Attributes:
@@ -91,8 +91,8 @@
     """The pending responses of a connection, and those that are being sent."""
 
     __slots__ = (
+        "_buffered",
         "_clock",
-        "_held",
         "_loop",
         "_owner",
         "_pending",
@@ -100,7 +100,7 @@
         "_traffic",
         "_unsent",
         "_writer",
-        "held_bytes",
+        "buffered_bytes",
         "is_closed",
         "write_started_ms",
     )
@@ -111,7 +111,7 @@
         sock: socket.socket,
         clock: Clock,
         traffic: Traffic,
-        held: HeldResponses,
+        buffered: BufferedResponses,
     ) -> None:
         self._owner: QueueOwner = owner
         self._sock = sock
@@ -120,8 +120,8 @@
         self._loop = asyncio.get_running_loop()
         self._pending: list[ResponseSlot] = []
         self._unsent: list[bytes] = []
-        self._held = held
-        self.held_bytes = 0  # of the responses that are known and not sent
+        self._buffered = buffered
+        self.buffered_bytes = 0  # of the responses that are known and not sent
         self._writer: asyncio.Task[None] | None = None
         # When the client's socket last accepted something, or None while nothing waits for it.
         self.write_started_ms: float | None = None
@@ -157,13 +157,13 @@
             return
         self._collect_due()
         if self._writer is not None:
-            self._count_held()
+            self._count_buffered()
             return
         if self._unsent and not self._send_unsent():
             return
-        self._count_held()
+        self._count_buffered()
         if self._pending and (stream := self._pending[0].stream) is not None:
-            stream.on_turn()
+            stream.on_ready()
         elif not self._pending:
             self._owner.on_all_sent()
 
@@ -175,18 +175,20 @@
             if response:
                 self._unsent.append(response)
 
-    def _count_held(self) -> None:
-        if not (self.held_bytes or self._unsent or self._pending):
+    def _count_buffered(self) -> None:
+        if not (self.buffered_bytes or self._unsent or self._pending):
             return
-        held_bytes = sum(map(len, self._unsent))
-        held_bytes += sum(len(slot.response) for slot in self._pending if slot.response)
-        self._held.total_bytes += held_bytes - self.held_bytes
-        self.held_bytes = held_bytes
+        buffered_bytes = sum(map(len, self._unsent))
+        buffered_bytes += sum(len(slot.response) for slot in self._pending if slot.response)
+        self._buffered.total_bytes += buffered_bytes - self.buffered_bytes
+        self.buffered_bytes = buffered_bytes
 
     @property
     def must_be_read(self) -> bool:
         """Whether the client has to read before further commands are served."""
-        return self.held_bytes > MAX_HELD_BYTES or bool(self.held_bytes and self._held.is_full)
+        return self.buffered_bytes > MAX_BUFFERED_BYTES or bool(
+            self.buffered_bytes and self._buffered.is_full
+        )
 
     def _send_unsent(self) -> bool:
         """Send what the socket accepts; return whether that was everything."""
@@ -203,7 +205,7 @@
         if sent == len(data):
             return True
         self._unsent.append(data[sent:])
-        self._count_held()
+        self._count_buffered()
         self.write_started_ms = self._clock.now()
         self._writer = self._loop.create_task(self._write())
         return False
@@ -216,7 +218,7 @@
                 self._unsent.clear()
                 self._traffic.client_bytes_out += len(data)
                 await self._loop.sock_sendall(self._sock, data)
-                self._count_held()
+                self._count_buffered()
                 self.write_started_ms = self._clock.now()
         except OSError:
             self._writer = None
@@ -226,7 +228,7 @@
         self._writer = None
         self.flush()
 
-    async def write_part(self, data: memoryview | bytes) -> None:
+    async def write_chunk(self, data: memoryview | bytes) -> None:
         """Send a part of the response that is being passed on.
 
         Raises:
@@ -254,30 +256,30 @@
             self._writer.cancel()
             self._writer = None
         self._unsent.clear()
-        self._held.total_bytes -= self.held_bytes
-        self.held_bytes = 0
+        self._buffered.total_bytes -= self.buffered_bytes
+        self.buffered_bytes = 0
         unanswered = [slot for slot in self._pending if slot.response is None]
         self._pending = []
         for slot in unanswered:
             if slot.stream is not None:
-                slot.stream.on_turn()  # its next write finds the queue closed
+                slot.stream.on_ready()  # its next write finds the queue closed
         return unanswered
 
 
 class ResponseStream:
     """A response that is passed on to the client while its backend writes it."""
 
-    __slots__ = ("_queue", "_slot", "_turn")
+    __slots__ = ("_queue", "_ready", "_slot")
 
     def __init__(self, queue: ResponseQueue, slot: ResponseSlot) -> None:
         self._queue = queue
         self._slot = slot
-        self._turn: asyncio.Event = asyncio.Event()
+        self._ready: asyncio.Event = asyncio.Event()
         slot.stream = self
 
-    def on_turn(self) -> None:
+    def on_ready(self) -> None:
         """Let the response be sent: all before it have been."""
-        self._turn.set()
+        self._ready.set()
 
     async def write(self, data: memoryview | bytes) -> None:
         """Send a part of the response once it is its turn and the client has read enough.
@@ -285,8 +287,8 @@
         Raises:
             ClientDisconnectedError: The connection is closed or broken.
         """
-        await self._turn.wait()
-        await self._queue.write_part(data)
+        await self._ready.wait()
+        await self._queue.write_chunk(data)
 
     def finish(self) -> None:
         """End the response, all of which has been written, and send the next ones."""
--- a/tests/net/test_closing_client_connections.py
+++ b/tests/net/test_closing_client_connections.py
@@ -162,7 +162,7 @@
         async with running_ingress(backend) as (ingress, client, _):
             pings = command(b"PING", b"x" * 1_900) * 100
             client.writer.write(request(1) + pings)
-            held = ingress.held_responses
+            held = ingress.buffered_responses
             await until(lambda: held.total_bytes > 16 * 1024)
             await asyncio.sleep(0.2)
             assert held.total_bytes <= (16 * 1024) + 8 * 2_000
