Let only some connections wait for blocks

Cause: in a crowd of half requests each of them waited up to a second for blocks, with unread input in its socket, so none could be evicted, and new clients found no connection free.

Change: an eighth of the client connections may wait for blocks; further large requests are rejected at once, and their connections can be evicted like any other.

--- a/dockthread/net/block_pool.py
+++ b/dockthread/net/block_pool.py
@@ -33,10 +33,14 @@
 
 
 class BlockPool:
-    """Blocks of `BLOCK_BYTES`, at most `max_blocks` at a time."""
+    """Blocks of `BLOCK_BYTES`, at most `max_blocks` at a time.
 
-    def __init__(self, max_blocks: int) -> None:
+    At most `max_waiting` reservations wait: each occupies a connection that others could use.
+    """
+
+    def __init__(self, max_blocks: int, max_waiting: int) -> None:
         self.max_blocks = max_blocks
+        self._max_waiting = max_waiting
         self._is_paused = False
         self.reserved = 0
         self._waiters: deque[_Waiter] = deque()
@@ -62,7 +66,8 @@
         """Reserve blocks; return False if they were not free within `timeout_s`."""
         if self.try_reserve(blocks):
             return True
-        if blocks > self.max_blocks or timeout_s <= 0:
+        has_place = len(self._waiters) < self._max_waiting
+        if blocks > self.max_blocks or not has_place or timeout_s <= 0:
             return False
         loop = asyncio.get_running_loop()
         waiter = _Waiter(blocks, loop.create_future())
--- a/dockthread/net/client_connection.py
+++ b/dockthread/net/client_connection.py
@@ -34,8 +34,7 @@
 from dockthread.observer import DropReason
 
 READ_BYTES = 1024  # Size of a connection's own read buffer; most reads are a single command.
-# Size of a second read if the first one filled the buffer.
-LONG_READ_BYTES = 3 * 1024
+LONG_READ_BYTES = 3 * 1024  # Size of a second read if the first one filled the buffer.
 COMMANDS_PER_TURN = 8  # Commands served on one connection before other tasks run.
 MAX_PENDING_COMMANDS = 128  # Maximum number of commands without a response on one connection.
 MAX_INVALID_COMMANDS = 16  # Maximum number of invalid commands on one connection.
@@ -121,7 +120,7 @@
     def is_mid_command(self) -> bool:
         """Whether a command has been received only in part."""
         is_open = self._state is ClientConnectionState.OPEN
-        return is_open and (self.is_reading_body or not self._reader.is_between_commands)
+        return is_open and (self._body is not None or not self._reader.is_between_commands)
 
     @property
     def waiting_since_ms(self) -> float:
@@ -135,8 +134,8 @@
 
     @property
     def is_reading_body(self) -> bool:
-        """Whether the body of a request is being read."""
-        return self._body is not None
+        """Whether the body of a request that may be served is being read."""
+        return self._body is not None and not self._body.is_rejected
 
     @property
     def is_streaming(self) -> bool:
@@ -219,9 +218,8 @@
             return
         self._state = ClientConnectionState.CLOSED
         discard_once(self.sock)  # closing with unread input would reset the connection
-        # A cancelled task references its traceback, whose frames reference this connection and its
-        # buffer. Dropping the tasks breaks the cycle, so the memory is freed without waiting for
-        # the garbage collector.
+        # A cancelled task references its traceback, whose frames reference this connection. Dropping
+        # the task breaks the cycle, so the memory is freed without the garbage collector.
         if self._reading is not None:
             self._reading.cancel()
         self._reading = None
--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -39,6 +39,8 @@
 
 # Time after the signal to stop during which the load balancer may still send new clients here.
 LINGER_MS = 500.0
+# Share of the client connections whose requests may wait for blocks.
+WAITING_FOR_BLOCKS_SHARE = 1 / 8
 MAX_CANCELLED_TIMERS = 1_000  # Timers kept although they may be cancelled; each is 0.3 KB.
 FINAL_READ_MS = 20.0  # Time to read the requests that wait on the connections accepted last.
 
@@ -130,7 +132,9 @@
     def _assemble_request_path(self, context: IngressContext) -> None:
         """Create the components between a client's command and a backend's reply."""
         config = self.config
-        self.body_blocks = BlockPool(self.memory.blocks)
+        self.body_blocks = BlockPool(
+            self.memory.blocks, int(self.budget.client * WAITING_FOR_BLOCKS_SHARE)
+        )
         self.memory_guard = MemoryGuard(config.memory_mb * BYTES_PER_MB)
         self.buffered_responses = BufferedResponses(self.memory.buffered_response_bytes)
         exchange = BackendExchange(
--- a/tests/net/test_long_values.py
+++ b/tests/net/test_long_values.py
@@ -227,12 +227,14 @@
 
 def test_reservations_are_granted_in_order_and_never_beyond_the_pool() -> None:
     async def scenario() -> None:
-        pool = BlockPool(4)
+        pool = BlockPool(4, max_waiting=2)
         assert pool.try_reserve(3)
         large = asyncio.create_task(pool.reserve(4, 1.0))
         await asyncio.sleep(0)
         assert not pool.try_reserve(1)  # behind the large one
         small = asyncio.create_task(pool.reserve(1, 0.05))
+        await asyncio.sleep(0)
+        assert not await pool.reserve(1, 9.0)  # at once, as two wait already
         assert not await small
         pool.unreserve(3)
         assert await large and pool.reserved == 4
