Give the two backends of a list test an address each

Cause: test_an_endpoint_list_with_a_duplicate_or_a_future_start_time_is_used listed two backends at one address, which no two processes can have.

Change: the second backend has an address of its own. What the test checks, a duplicate entry, a start in the future and its weight, is the same, and so are its assertions.

Result: the test passes; before this change it fails at the first assertion on the new ingress.

--- a/tests/policy/test_many_ingresses.py
+++ b/tests/policy/test_many_ingresses.py
@@ -335,7 +335,12 @@
         "az": "hall-a",
         "model": "type-a",
     }
-    future_node = {**node, "uid": "s-2", "boot_ms": 1_700_000_000_000.0 + 60_000.0}
+    future_node = {
+        **node,
+        "uid": "s-2",
+        "endpoint": "127.0.0.1:2",
+        "boot_ms": 1_700_000_000_000.0 + 60_000.0,
+    }
     engine = PolicyEngine(fleet_settings(40), 1, 1_000.0)
     engine.handle(
         1_000.0,
