--- a/dockthread/net/ingress.py
+++ b/dockthread/net/ingress.py
@@ -25,7 +25,7 @@
 from dockthread.net.gossip_transport import GossipTransport
 from dockthread.net.lifecycle import Lifecycle, Phase
 from dockthread.net.listener import Listener
-from dockthread.net.memory import BACKEND_BYTES, MemoryBudget
+from dockthread.net.memory import BACKEND_BYTES, MemoryBudget, listed_count
 from dockthread.net.memory_guard import MemoryGuard
 from dockthread.net.policy_host import PolicyHost
 from dockthread.net.quota_counter import QuotaCounterClient
@@ -105,8 +105,7 @@
         descriptor_budget = DescriptorBudget.of(descriptors)
         self.memory = MemoryBudget.of(
             config.memory_mb * BYTES_PER_MB,
-            process_memory.resident_bytes()
-            + len(config.known_endpoints["targets"]) * BACKEND_BYTES,
+            process_memory.resident_bytes() + listed_count(config.known_endpoints) * BACKEND_BYTES,
             descriptor_budget,
         )
         self.budget = self.memory.limited(descriptor_budget)
--- a/dockthread/net/memory.py
+++ b/dockthread/net/memory.py
@@ -41,6 +41,12 @@
 MIN_BLOCKS = 16
 
 
+def listed_count(known_endpoints: object) -> int:
+    """Return the number of entries of an endpoint list; 0 for a malformed one, rejected later."""
+    targets = known_endpoints.get("targets") if isinstance(known_endpoints, dict) else None
+    return len(targets) if isinstance(targets, list) else 0
+
+
 @dataclass(frozen=True, slots=True)
 class MemoryBudget:
     """Bounds on what an ingress may hold.
