Do not take what waited in a client's send buffer for a request that just came

While a body waits for blocks its receive window closes, and what the client has written waits in its own send buffer. Reads after the wait find the receive buffer empty for up to 200 ms, until the window is probed, and that was taken for a client that was still writing: the backend was told 1,994 of 2,000 ms after a wait of 300.

Change: after a wait for blocks the arrival of a body stays bounded by the start of the wait, until a read has waited for over 300 ms.

--- a/dockthread/net/body_reader.py
+++ b/dockthread/net/body_reader.py
@@ -21,6 +21,9 @@
 MAX_RESERVATION_S = 1.0
 RESERVATION_SHARE = 0.25
 MS_PER_S = 1000.0
+# Longest time after which data behind a closed receive window arrives once there is space again:
+# Linux probes such a window after 200 ms.
+MAX_WINDOW_DELAY_MS = 300.0
 # Slowest pace of a body on the whole; a client may pause for the time-out of a command.
 MIN_BYTES_PER_MS = 32.0
 
@@ -45,6 +48,7 @@
         "_input",
         "_is_cancelled",
         "_loop",
+        "_may_be_backlogged",
         "_overdue_ms",
         "_reader",
         "_sock",
@@ -64,6 +68,9 @@
         self.content: BlockBuffer | None = None
         self.is_rejected = False
         self._is_cancelled = False
+        # Whether the rest of the body may wait in the client's send buffer since before the wait
+        # for blocks, so that its reads tell nothing of when the client sent it.
+        self._may_be_backlogged = False
         self.last_progress_ms = host.clock.now()
         self._overdue_ms = self.last_progress_ms
 
@@ -82,8 +89,11 @@
         """
         wait_s = min(MAX_RESERVATION_S, time_left_ms / MS_PER_S * RESERVATION_SHARE)
         pool = self._host.body_blocks
-        if not await pool.reserve(blocks_for(size), wait_s):
-            return False
+        blocks = blocks_for(size)
+        if not pool.try_reserve(blocks):
+            self._may_be_backlogged = True
+            if not await pool.reserve(blocks, wait_s):
+                return False
         self.content = content = BlockBuffer(pool, size)
         if self._is_cancelled:
             self.cancel()
@@ -137,6 +147,7 @@
         """
         # Until now the socket was not read, so what it has may have arrived long ago.
         self._input.on_wait()
+        asked_ms = self._host.clock.now()
         size = await self._loop.sock_recv_into(self._sock, space)
         if not size:
             raise ConnectionResetError("the client closed the connection within a request")
@@ -144,6 +155,9 @@
             raise BodyCancelledError
         now = self._host.clock.now()
         self._host.traffic.client_bytes_in += size
-        self._input.on_read(now, is_drained=size < len(space))
+        if now - asked_ms > MAX_WINDOW_DELAY_MS:
+            self._may_be_backlogged = False
+        if not self._may_be_backlogged:
+            self._input.on_read(now, is_drained=size < len(space))
         self.last_progress_ms = now
         return size
