Remove a dead conversion and loop counter, and log repeated ids at DEBUG only

Cause: the read of the whole change found Clock.from_unix without a caller since starts are converted by the present clock, a counter and an assertion left in the loop over arguments, and a line at INFO for each repeated id, where the README says that nothing is logged per request at INFO: a client that repeats ids at full speed would have filled the log.

Change: both are gone, and the line is at DEBUG; app_drops{reason="repeated_id"} counts as before.

--- a/dockthread/clock.py
+++ b/dockthread/clock.py
@@ -45,10 +45,6 @@
         now = self.now()
         return min(now, unix_ms - (self.unix() - now))
 
-    def from_unix(self, unix_ms: float) -> float:
-        """Convert a Unix time to a time on this clock; 0, an unknown time, stays 0."""
-        return unix_ms - self._unix_offset if unix_ms else 0.0
-
 
 class ManualClock(Clock):
     """A clock that changes only when it is set, for tests and simulations; times in ms."""
--- a/dockthread/net/requests_in_flight.py
+++ b/dockthread/net/requests_in_flight.py
@@ -111,7 +111,9 @@
             return self._reject_at_once(command, "late")
         if not self._claim_id(command, now + time_left_ms):
             self._traffic.drops[DropReason.REPEATED_ID] += 1
-            logger.info("request {} was sent before; it is not run again", command.wire_id.decode())
+            logger.debug(
+                "request {} was sent before; it is not run again", command.wire_id.decode()
+            )
             response = resp.encode_error("this id is open already")
             return self.respond_without_policy(command, "duplicate", response)
         return self._start(connection, command, now, time_left_ms)
--- a/dockthread/net/resp/command_reader.py
+++ b/dockthread/net/resp/command_reader.py
@@ -93,7 +93,7 @@
             raise ProtocolError("invalid number of arguments")
         arguments: list[bytes] = []
         position = header.end()
-        for index in range(count):
+        for _ in range(count):
             header = self._header(_VALUE_HEADER, b"$", position)
             if header is None:
                 return None
@@ -107,7 +107,6 @@
                 return None
             arguments.append(data[position:end])
             position = end + len(LINE_END)
-            assert index < count
         self._position = position
         return Command(arguments)
 
