--- a/review/stand_ins_2/platform_stand_ins.py
+++ b/review/stand_ins_2/platform_stand_ins.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -479,6 +480,54 @@
         )
 
 
+class Link:
+    """The link on which one member reaches another; it goes through this proxy.
+
+    As the protocol page has it: when a process dies, its connections are reset and new ones are
+    refused.
+    """
+
+    def __init__(self, ports: Reservations, receiver: Ingress) -> None:
+        self.address = ports.address()
+        self._receiver = receiver
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Take connections, and pass on what comes."""
+        self._server = await asyncio.start_server(self._forward, *split(self.address))
+
+    def reset(self) -> None:
+        """Refuse new connections, and reset the open ones."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            reset(writer)
+
+    async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        onward: asyncio.StreamWriter | None = None
+        with suppress(OSError, asyncio.CancelledError):
+            _, onward = await asyncio.open_connection(*split(self._receiver.peer_address))
+            while data := await reader.read(READ_BYTES):
+                onward.write(data)
+                await onward.drain()
+        self._writers.discard(writer)
+        if onward is None:
+            reset(writer)
+        else:
+            writer.close()
+            onward.close()
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def wait_for_leader(ingresses: list[Ingress]) -> None:
     """Wait until all of these members know one leader."""
 
